--- /dev/null
+++ b/src/bookkeeping/book.cpp
@@ -0,0 +1,317 @@
+#include "bookkeeping/book.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+std::uint32_t Job::running() const {
+  std::uint32_t n = 0;
+  for (const auto& [task, p] : placed)
+    if (p.seen && (p.phase == Phase::running || p.phase == Phase::saving)) ++n;
+  return n;
+}
+
+Book::Book(const std::vector<Team>& teams) : teams_(teams) {
+  for (const auto& t : teams) team_names_.intern(t.name);
+}
+
+JobIdx Book::find(std::string_view uid) const {
+  auto it = by_uid_.find(std::string(uid));
+  return it == by_uid_.end() ? JobIdx{} : it->second;
+}
+
+HostIdx Book::find_host(const std::string& name) const {
+  auto it = by_name_.find(name);
+  return it == by_name_.end() ? HostIdx{} : it->second;
+}
+
+HostIdx Book::host_named(const std::string& name) {
+  auto [it, fresh] = by_name_.try_emplace(name, HostIdx{static_cast<std::uint32_t>(hosts_.size())});
+  if (fresh) {
+    hosts_.emplace_back();
+    hosts_.back().name = name;
+  }
+  return it->second;
+}
+
+void Book::describe(HostIdx h, const std::string& address, const std::string& kind, const std::string& zone,
+                    bool loaner) {
+  Host& host = hosts_[h.v];
+  if (!address.empty()) host.address = address;
+  host.kind = kinds_.intern(kind);
+  host.zone = zones_.intern(zone);
+  host.loaner = loaner;
+}
+
+const Flavor* Book::flavor(KindIdx k) const {
+  if (!k.valid() || k.v >= flavor_of_kind_.size() || flavor_of_kind_[k.v] < 0) return nullptr;
+  return &flavors_[static_cast<std::size_t>(flavor_of_kind_[k.v])];
+}
+
+void Book::touch_image(Host& host, ImageIdx image, double gb) {
+  auto it = std::find_if(host.images.begin(), host.images.end(), [&](auto& i) { return i.first == image; });
+  if (it != host.images.end()) host.images.erase(it);
+  host.images.emplace_back(image, gb);
+  const Flavor* f = flavor(host.kind);
+  if (!f) return;
+  double sum = 0;
+  for (const auto& i : host.images) sum += i.second;
+  while (host.images.size() > 1 && sum > f->cache_gb) {
+    sum -= host.images.front().second;
+    host.images.erase(host.images.begin());
+  }
+}
+
+bool Book::caches(const Host& host, ImageIdx image) const {
+  return std::any_of(host.images.begin(), host.images.end(), [&](auto& i) { return i.first == image; });
+}
+
+Placement* Book::placement(PieceRef ref) {
+  if (!ref.job.valid()) return nullptr;
+  auto& placed = jobs_[ref.job.v].placed;
+  auto it = placed.find(ref.task);
+  return it == placed.end() ? nullptr : &it->second;
+}
+
+bool Book::allows(const Job& job, const Host& host) const {
+  if (!host.kind.valid()) return false;
+  if (host.loaner && !job.spec.loaners) return false;
+  if (job.yard.valid() && host.zone != job.yard) return false;
+  return job.kinds.empty() || std::find(job.kinds.begin(), job.kinds.end(), host.kind) != job.kinds.end();
+}
+
+std::optional<std::string> Book::why_never(const Submission& s) const {
+  const TeamIdx team = team_names_.find(s.owner);
+  if (!team.valid()) return "owner: unknown team";
+  bool fits = false;
+  for (const auto& f : flavors_) {
+    const bool named = s.host_kinds.empty() ||
+                       std::find(s.host_kinds.begin(), s.host_kinds.end(), f.name) != s.host_kinds.end();
+    const bool there = s.yard.empty() || f.yards.empty() ||
+                       std::find(f.yards.begin(), f.yards.end(), s.yard) != f.yards.end();
+    if (named && there && s.need.fits(f.room)) fits = true;
+  }
+  if (!fits) return "hostKinds: a task fits no allowed machine type";
+  const Resources all = s.need * (s.shape == Shape::batch ? 1.0 : s.pieces);
+  const Resources& limit = teams_[team.v].limit;
+  if (limit.cores > 0 && all.cores > limit.cores + 1e-6) return "cores: more than the team's limit";
+  if (limit.accelerators > 0 && all.accelerators > limit.accelerators + 1e-6)
+    return "accelerators: more than the team's limit";
+  return std::nullopt;
+}
+
+JobIdx Book::add_job(const AcceptRecord& r) {
+  JobIdx j{static_cast<std::uint32_t>(jobs_.size())};
+  auto& job = jobs_.emplace_back();
+  job.uid = r.job.uid;
+  job.spec = r.job;
+  job.team = team_names_.find(r.job.owner);
+  job.job_class = classes_.intern(r.job.job_class);
+  job.image = images_.intern(r.job.bundle);
+  if (!r.job.yard.empty()) job.yard = zones_.intern(r.job.yard);
+  for (const auto& k : r.job.host_kinds) job.kinds.push_back(kinds_.intern(k));
+  job.draw = r.draw;
+  job.accepted_at = job.waiting_since = r.at;
+  job.tasks.assign(r.job.pieces, TaskState::waiting);
+  job.waiting = r.job.pieces;
+  by_uid_.emplace(job.uid, j);
+  live_.push_back(j);
+  return j;
+}
+
+void Book::place(JobIdx j, std::uint32_t task, HostIdx h, std::uint64_t tenure, std::uint64_t attempt, double at) {
+  Job& job = jobs_[j.v];
+  if (task >= job.tasks.size() || job.tasks[task] != TaskState::waiting) return;
+  job.tasks[task] = TaskState::placed;
+  --job.waiting;
+  Placement p;
+  p.host = h;
+  p.tenure = tenure;
+  p.attempt = attempt;
+  p.at = at;
+  job.placed.emplace(task, p);
+  Host& host = hosts_[h.v];
+  host.placed.push_back({j, task});
+  host.used += job.spec.need;
+  touch_image(host, job.image, job.spec.pull_gb);
+  if (job.team.valid()) teams_[job.team.v].used += job.spec.need;
+}
+
+void Book::unplace(JobIdx j, std::uint32_t task) {
+  Job& job = jobs_[j.v];
+  auto it = job.placed.find(task);
+  if (it == job.placed.end()) return;
+  Host& host = hosts_[it->second.host.v];
+  auto at = std::find(host.placed.begin(), host.placed.end(), PieceRef{j, task});
+  if (at != host.placed.end()) {
+    *at = host.placed.back();
+    host.placed.pop_back();
+  }
+  host.used -= job.spec.need;
+  if (host.placed.empty()) host.used = {};
+  if (job.team.valid()) teams_[job.team.v].used -= job.spec.need;
+  job.placed.erase(it);
+  if (job.tasks[task] == TaskState::placed) {
+    job.tasks[task] = TaskState::waiting;
+    ++job.waiting;
+  }
+}
+
+void Book::mark_done(JobIdx j, const Ranges& ranges) {
+  Job& job = jobs_[j.v];
+  for (const auto& range : ranges) {
+    for (std::uint32_t t = range.first; t < range.last && t < job.tasks.size(); ++t) {
+      unplace(j, t);
+      if (job.tasks[t] == TaskState::done) continue;
+      job.tasks[t] = TaskState::done;
+      --job.waiting;
+      ++job.done;
+    }
+  }
+  // A job that its user cancelled stays so, whatever its tasks still do.
+  if (job.done == job.tasks.size() && job.status != JobStatus::aborted) job.status = JobStatus::done;
+}
+
+void Book::settle(JobIdx j) {
+  Job& job = jobs_[j.v];
+  if (!job.ended() || !job.placed.empty()) return;
+  auto it = std::find(live_.begin(), live_.end(), j);
+  if (it != live_.end()) {
+    *it = live_.back();
+    live_.pop_back();
+  }
+  // An ended job needs only its name and how it ended.
+  job.spec = {};
+  job.tasks = {};
+  job.kinds = {};
+  job.failed_on.clear();
+}
+
+void Book::apply(const Record& record) {
+  std::visit([this](const auto& r) { on(r); }, record);
+}
+
+void Book::on(const AcceptRecord& r) {
+  if (!find(r.job.uid).valid()) add_job(r);
+}
+
+void Book::on(const StartRecord& r) {
+  const JobIdx j = find(r.uid);
+  if (!j.valid()) return;
+  Job& job = jobs_[j.v];
+  job.attempts = std::max(job.attempts, r.attempt);
+  // Cancelled between the plan and the ledger: it does not start.
+  if (job.ended()) return;
+  for (const auto& part : r.parts) {
+    const HostIdx h = host_named(part.host);
+    for (const auto& range : part.tasks)
+      for (std::uint32_t t = range.first; t < range.last; ++t) place(j, t, h, part.tenure, r.attempt, r.at);
+  }
+}
+
+void Book::on(const DoneRecord& r) {
+  const JobIdx j = find(r.uid);
+  if (!j.valid() || jobs_[j.v].tasks.empty()) return;
+  mark_done(j, r.tasks);
+  settle(j);
+}
+
+void Book::on(const OffRecord& r) {
+  const JobIdx j = find(r.uid);
+  if (!j.valid()) return;
+  for (const auto& range : r.tasks) {
+    for (std::uint32_t t = range.first; t < range.last; ++t) {
+      auto it = jobs_[j.v].placed.find(t);
+      if (it != jobs_[j.v].placed.end() && it->second.attempt == r.attempt) unplace(j, t);
+    }
+  }
+  settle(j);
+}
+
+void Book::on(const CancelRecord& r) {
+  const JobIdx j = find(r.uid);
+  if (!j.valid()) return;
+  Job& job = jobs_[j.v];
+  if (job.ended()) return;
+  job.status = JobStatus::aborted;
+  for (auto& [task, p] : job.placed) {
+    p.stopping = true;
+    p.wind_down_s = 0;
+  }
+  settle(j);
+}
+
+void Book::on(const FlavorsRecord& r) {
+  flavors_ = r.flavors;
+  flavor_of_kind_.clear();
+  for (std::size_t i = 0; i < flavors_.size(); ++i) {
+    const KindIdx k = kinds_.intern(flavors_[i].name);
+    if (flavor_of_kind_.size() <= k.v) flavor_of_kind_.resize(k.v + 1, -1);
+    flavor_of_kind_[k.v] = static_cast<int>(i);
+  }
+}
+
+void Book::on(const JobRecord& r) {
+  if (find(r.accept.job.uid).valid()) return;
+  const JobIdx j = add_job(r.accept);
+  jobs_[j.v].attempts = r.attempts;
+  mark_done(j, r.done);
+  for (const auto& p : r.placed) {
+    const HostIdx h = host_named(p.host);
+    for (const auto& range : p.tasks)
+      for (std::uint32_t t = range.first; t < range.last; ++t) place(j, t, h, p.tenure, p.attempt, p.at);
+  }
+  if (r.status == JobStatus::aborted) on(CancelRecord{r.accept.job.uid});
+  settle(j);
+}
+
+void Book::on(const EndedRecord& r) {
+  for (const auto& uid : r.uids) {
+    if (find(uid).valid()) continue;
+    JobIdx j{static_cast<std::uint32_t>(jobs_.size())};
+    auto& job = jobs_.emplace_back();
+    job.uid = uid;
+    job.status = r.status;
+    by_uid_.emplace(uid, j);
+  }
+}
+
+std::vector<Record> Book::records() const {
+  constexpr std::size_t uids_a_record = 100;
+  std::vector<Record> out;
+  if (!flavors_.empty()) out.emplace_back(FlavorsRecord{flavors_});
+  EndedRecord ended[2] = {{JobStatus::done, {}}, {JobStatus::aborted, {}}};
+  for (const auto& job : jobs_) {
+    if (job.ended() && job.placed.empty()) {
+      auto& e = ended[job.status == JobStatus::aborted];
+      e.uids.push_back(job.uid);
+      if (e.uids.size() == uids_a_record) {
+        out.emplace_back(e);
+        e.uids.clear();
+      }
+      continue;
+    }
+    JobRecord r;
+    r.accept = {job.spec, job.draw, job.accepted_at};
+    r.status = job.status;
+    r.attempts = job.attempts;
+    for (std::uint32_t t = 0; t < job.tasks.size(); ++t)
+      if (job.tasks[t] == TaskState::done) add_to(r.done, t);
+    for (const auto& [task, p] : job.placed) {
+      auto same = std::find_if(r.placed.begin(), r.placed.end(), [&](const auto& q) {
+        return q.host == hosts_[p.host.v].name && q.tenure == p.tenure && q.attempt == p.attempt && q.at == p.at;
+      });
+      if (same == r.placed.end()) {
+        r.placed.push_back({hosts_[p.host.v].name, p.tenure, p.attempt, p.at, {}});
+        same = std::prev(r.placed.end());
+      }
+      add_to(same->tasks, task);
+    }
+    out.emplace_back(std::move(r));
+  }
+  for (auto& e : ended)
+    if (!e.uids.empty()) out.emplace_back(e);
+  return out;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/bookkeeping/book.hpp
@@ -0,0 +1,179 @@
+// The book: jobs, tasks, hosts and teams. What the ledger's records say is applied here, in order, and nothing
+// else changes what is durable. Pure: time is passed in.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+enum class TaskState : std::uint8_t { waiting, placed, done };
+
+// Where a task may be. From its start record until a record says that it is off (or done), it occupies this place.
+struct Placement {
+  HostIdx host;
+  std::uint64_t tenure = 0, attempt = 0;
+  double at = 0;  // wall seconds of the decision to start it
+  // Learned from reports, not in the ledger:
+  Phase phase = Phase::pulling;
+  bool seen = false;       // some report showed it
+  bool closing = false;    // its end is on its way into the ledger
+  bool stopping = false;   // to be stopped
+  double wind_down_s = 0;  // grace that goes with the stop
+  double running_at = 0;   // wall seconds when it was first seen running
+};
+
+struct Job {
+  std::string uid;
+  Submission spec;
+  TeamIdx team;
+  ClassIdx job_class;
+  ImageIdx image;
+  ZoneIdx yard;
+  std::vector<KindIdx> kinds;  // empty: any
+  double draw = 0, accepted_at = 0;
+  JobStatus status = JobStatus::queued;  // queued stands for any job that has not ended
+  std::uint64_t attempts = 0;
+  std::vector<TaskState> tasks;
+  std::map<std::uint32_t, Placement> placed;
+  std::uint32_t done = 0, waiting = 0;
+  // Learned, not in the ledger:
+  std::set<HostIdx> failed_on;
+  unsigned failures = 0;
+  double not_before = 0;   // wall seconds: backing off
+  double waiting_since = 0;
+
+  [[nodiscard]] bool ended() const { return status == JobStatus::done || status == JobStatus::aborted; }
+  [[nodiscard]] std::uint32_t running() const;
+};
+
+struct PieceRef {
+  JobIdx job;
+  std::uint32_t task = 0;
+  friend auto operator<=>(const PieceRef&, const PieceRef&) = default;
+};
+
+struct SeenPiece {
+  PieceRef ref;           // job not valid: not in the book
+  std::uint64_t attempt = 0;
+  Phase phase = Phase::pulling;
+  std::string uid;        // kept for pieces not in the book
+};
+
+struct Host {
+  std::string name, address;
+  KindIdx kind;
+  ZoneIdx zone;
+  bool loaner = false;
+  std::uint64_t tenure = 0, serial = 0, epoch_seen = 0;
+  bool reported = false;         // has reported to this leader
+  double reported_at = 0;        // steady seconds
+  double answered_at = 0;        // steady seconds: the latest report of it that this leader answered
+  bool lost = false;             // its lease is over; not used until it reports again
+  bool gone = false;             // released or taken: it does not come back
+  std::optional<double> recall_at;  // steady seconds
+  std::vector<PieceRef> placed;
+  Resources used;                // by placed tasks
+  std::vector<SeenPiece> pieces; // the newest report's, sorted by ref
+  std::vector<std::pair<ImageIdx, double>> images;  // most recently used last
+  // Direct commands with a start that were sent and not answered: until the worker is seen under a higher epoch,
+  // they may yet be executed.
+  std::uint64_t in_flight_epoch = 0, doubt_epoch = 0;
+  std::set<JobIdx> failed_jobs;
+  bool set_aside = false;
+  double no_room_until = 0;      // steady seconds
+  // From the cloud's list:
+  bool listed = false;
+  Machine::Status status = Machine::Status::running;
+  double held_s = 0, listed_at = 0;
+  double idle_since = 0;         // steady seconds; 0: not idle
+
+  [[nodiscard]] bool clean(std::uint64_t epoch) const {
+    return in_flight_epoch == 0 && (doubt_epoch == 0 || epoch > doubt_epoch);
+  }
+};
+
+struct Team {
+  std::string name;
+  Resources guarantee, limit, used;
+};
+
+class Book {
+ public:
+  explicit Book(const std::vector<Team>& teams);
+
+  void apply(const Record& record);
+
+  // Jobs
+  [[nodiscard]] JobIdx find(std::string_view uid) const;
+  [[nodiscard]] Job& job(JobIdx j) { return jobs_[j.v]; }
+  [[nodiscard]] const Job& job(JobIdx j) const { return jobs_[j.v]; }
+  [[nodiscard]] const std::vector<JobIdx>& live() const { return live_; }  // not ended, or still on hosts
+  // Its flavors decide whether the task can ever run; nullopt while they are unknown.
+  [[nodiscard]] std::optional<std::string> why_never(const Submission& s) const;
+  [[nodiscard]] bool allows(const Job& job, const Host& host) const;
+  Placement* placement(PieceRef ref);
+
+  // Hosts
+  HostIdx host_named(const std::string& name);
+  [[nodiscard]] HostIdx find_host(const std::string& name) const;
+  [[nodiscard]] Host& host(HostIdx h) { return hosts_[h.v]; }
+  [[nodiscard]] const Host& host(HostIdx h) const { return hosts_[h.v]; }
+  [[nodiscard]] std::size_t host_count() const { return hosts_.size(); }
+  void describe(HostIdx h, const std::string& address, const std::string& kind, const std::string& zone, bool loaner);
+  void touch_image(Host& host, ImageIdx image, double gb);
+  [[nodiscard]] bool caches(const Host& host, ImageIdx image) const;
+
+  // Flavors, by kind; nullptr while unknown
+  [[nodiscard]] const Flavor* flavor(KindIdx k) const;
+  [[nodiscard]] const std::vector<Flavor>& flavors() const { return flavors_; }
+  [[nodiscard]] KindIdx kind_of(std::string_view name) const { return kinds_.find(name); }
+  [[nodiscard]] const std::string& kind_name(KindIdx k) const { return kinds_.name(k); }
+  [[nodiscard]] ZoneIdx zone_of(std::string_view name) { return zones_.intern(name); }
+  [[nodiscard]] const std::string& zone_name(ZoneIdx z) const { return zones_.name(z); }
+  [[nodiscard]] std::size_t zone_count() const { return zones_.size(); }
+
+  std::vector<Team>& teams() { return teams_; }
+  [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
+  [[nodiscard]] TeamIdx team_of(std::string_view name) const { return team_names_.find(name); }
+
+  // The whole book as records, for a snapshot.
+  [[nodiscard]] std::vector<Record> records() const;
+
+ private:
+  JobIdx add_job(const AcceptRecord& r);
+  void place(JobIdx j, std::uint32_t task, HostIdx h, std::uint64_t tenure, std::uint64_t attempt, double at);
+  void unplace(JobIdx j, std::uint32_t task);
+  void mark_done(JobIdx j, const Ranges& ranges);
+  void settle(JobIdx j);
+
+  void on(const AcceptRecord& r);
+  void on(const StartRecord& r);
+  void on(const DoneRecord& r);
+  void on(const OffRecord& r);
+  void on(const CancelRecord& r);
+  void on(const FlavorsRecord& r);
+  void on(const JobRecord& r);
+  void on(const EndedRecord& r);
+
+  Interner<TeamIdx> team_names_;
+  Interner<KindIdx> kinds_;
+  Interner<ZoneIdx> zones_;
+  Interner<ImageIdx> images_;
+  Interner<ClassIdx> classes_;
+  std::vector<Team> teams_;
+  std::vector<Job> jobs_;
+  std::unordered_map<std::string, JobIdx> by_uid_;
+  std::vector<JobIdx> live_;
+  std::vector<Host> hosts_;
+  std::unordered_map<std::string, HostIdx> by_name_;
+  std::vector<Flavor> flavors_;
+  std::vector<int> flavor_of_kind_;
+};
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/cloud.cpp
@@ -0,0 +1,233 @@
+// Dealings with the cloud: machine types, the machine list, rentals and releases.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/controller.hpp"
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+
+namespace {
+constexpr double kCloudTimeout = 5.0;
+constexpr double kFlavorsPeriod = 120.0;
+constexpr double kRefusedPause = 20.0;      // after "no capacity"
+constexpr double kBootFactor = 4.0;         // times bootS after which a machine is taken for dead
+constexpr unsigned kPage = 500;
+constexpr unsigned kMostAtOnce = 4;
+}  // namespace
+
+void Controller::cloud_duty(std::stop_token stop) {
+  HttpClient cloud(settings_.cloud);
+  std::stop_callback abort(stop, [&] { cloud.abort(); });
+  double flavors_at = -1e9, listed_at = -1e9;
+  std::uint64_t number = 0;
+  while (!stop.stop_requested()) {
+    bool leading = false, deciding = false;
+    {
+      Lock lock(mutex_);
+      role_changed_.wait(lock, stop, [&] { return role_ == Role::leading; });
+      if (stop.stop_requested()) return;
+      leading = role_ == Role::leading;
+      deciding = decisive();
+      if (number != term_number_) {
+        number = term_number_;
+        flavors_at = listed_at = -1e9;
+      }
+    }
+    const double now = steady_now();
+    if (leading && now - flavors_at > kFlavorsPeriod && learn_flavors(cloud)) flavors_at = now;
+    if (leading && now - listed_at > std::max(1.0, settings_.list_lag_s / 2) && list_machines(cloud)) listed_at = now;
+    if (deciding) {
+      release_dead(cloud);
+      if (tuning_.rent) rent(cloud);
+    }
+    if (!pause_for(stop, std::max(0.5, 2.0 / settings_.cloud_rps))) return;
+  }
+}
+
+bool Controller::learn_flavors(HttpClient& cloud) {
+  const auto r = cloud.get(kFlavorsPath, kCloudTimeout);
+  if (!r.ok()) return false;
+  try {
+    auto flavors = parse_flavors(r.body);
+    Lock lock(mutex_);
+    if (!decisive()) return false;
+    const auto& old = term_->book->flavors();
+    const bool same = old.size() == flavors.size() &&
+                      std::equal(old.begin(), old.end(), flavors.begin(), [](const Flavor& a, const Flavor& b) {
+                        return a.name == b.name && a.room == b.room && a.boot_s == b.boot_s;
+                      });
+    if (!same) {
+      // Kept in the ledger, so that a later leader can decide on submissions during a cloud outage.
+      spdlog::info("{} machine types known", flavors.size());
+      std::vector<Record> records;
+      records.emplace_back(FlavorsRecord{std::move(flavors)});
+      enqueue(std::move(records));
+    }
+    return true;
+  } catch (const Malformed& e) {
+    spdlog::error("cloud: machine types: {}", e.what());
+    return false;
+  }
+}
+
+bool Controller::list_machines(HttpClient& cloud) {
+  std::vector<Machine> all;
+  std::string from;
+  for (;;) {
+    const auto r = cloud.get(machines_path(from, kPage), kCloudTimeout);
+    if (!r.ok()) return false;
+    try {
+      auto page = parse_machines(r.body);
+      for (auto& m : page.machines) all.push_back(std::move(m));
+      if (!page.truncated || page.machines.empty()) break;
+      from = all.back().name;
+    } catch (const Malformed& e) {
+      spdlog::error("cloud: machine list: {}", e.what());
+      return false;
+    }
+  }
+  Lock lock(mutex_);
+  if (role_ != Role::leading) return false;
+  Book& book = *term_->book;
+  const double now = steady_now();
+  for (const auto& m : all) {
+    const HostIdx h = book.host_named(m.name);
+    Host& host = book.host(h);
+    if (host.gone) continue;
+    const bool fresh = !host.listed;
+    host.listed = true;
+    host.listed_at = now;
+    host.status = m.status;
+    host.held_s = m.held_s;
+    if (!host.reported) book.describe(h, m.address, m.kind, m.yard, m.loaner);
+    // A machine new to this leader may hold tasks: its worker learns of the epoch at once.
+    if (fresh && !host.reported && m.status == Machine::Status::running) poke(h, true);
+  }
+  return true;
+}
+
+void Controller::release_dead(HttpClient& cloud) {
+  std::vector<std::string> names;
+  {
+    Lock lock(mutex_);
+    if (!decisive()) return;
+    const Book& book = *term_->book;
+    for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+      const Host& host = book.host(HostIdx{i});
+      if (!host.listed || host.gone || names.size() >= 50) continue;
+      const Flavor* flavor = book.flavor(host.kind);
+      const bool failed = host.status == Machine::Status::failed;
+      const bool never_booted = !host.reported && host.status == Machine::Status::booting && flavor &&
+                                host.held_s > kBootFactor * flavor->boot_s;
+      if (failed || never_booted) names.push_back(host.name);
+    }
+  }
+  if (names.empty()) return;
+  const auto r = cloud.post(kReleasePath, release_body(names), kCloudTimeout);
+  if (!r.ok()) return;
+  Lock lock(mutex_);
+  if (role_ != Role::leading) return;
+  for (const auto& name : names) {
+    const HostIdx h = term_->book->find_host(name);
+    if (!h.valid()) continue;
+    term_->book->host(h).gone = true;
+    spdlog::info("{}: released", name);
+    enqueue(clear_host(*term_->book, h));
+  }
+}
+
+void Controller::rent(HttpClient& cloud) {
+  std::string kind, yard, rental;
+  bool loaner = false;
+  unsigned count = 0;
+  {
+    Lock lock(mutex_);
+    if (!decisive()) return;
+    const Book& book = *term_->book;
+    const double now = steady_now();
+    // Machines on their way serve the first of what waits.
+    std::map<KindIdx, unsigned> coming;
+    for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+      const Host& host = book.host(HostIdx{i});
+      if (host.listed && !host.gone && !host.reported && host.status == Machine::Status::booting) ++coming[host.kind];
+    }
+    for (const auto& u : unserved_) {
+      const Job& job = book.job(u.job);
+      if (job.ended() || job.tasks.empty() || kind.size()) continue;
+      struct Option {
+        double price;
+        const Flavor* flavor;
+        const std::string* yard;
+        bool loaner;
+        unsigned per_machine;
+      };
+      std::vector<Option> options;
+      for (const auto& f : book.flavors()) {
+        const KindIdx k = book.kind_of(f.name);
+        if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), k) == job.kinds.end()) continue;
+        if (!job.spec.need.fits(f.room)) continue;
+        if (job.spec.need.accelerators == 0 && f.room.accelerators > 0) continue;
+        double per = f.room.cores / std::max(job.spec.need.cores, 0.01);
+        if (job.spec.need.ram_gb > 0) per = std::min(per, f.room.ram_gb / job.spec.need.ram_gb);
+        if (job.spec.need.accelerators > 0) per = std::min(per, f.room.accelerators / job.spec.need.accelerators);
+        const auto units = std::max(1u, static_cast<unsigned>(per + 1e-6));
+        // Renting pays only where the machine is up before the slot that is held anyway.
+        if (u.earliest - wall_now() < f.boot_s) continue;
+        for (const auto& y : f.yards) {
+          if (!job.spec.yard.empty() && job.spec.yard != y) continue;
+          for (bool market : {true, false}) {
+            if (market && !job.spec.loaners) continue;
+            const auto it = refused_rentals_.find(f.name + "/" + y + (market ? "/market" : "/fixed"));
+            if (it != refused_rentals_.end() && it->second > now) continue;
+            options.push_back({(market ? f.market_price : f.price) / units, &f, &y, market, units});
+          }
+        }
+      }
+      if (options.empty()) continue;
+      const auto& best = *std::min_element(options.begin(), options.end(),
+                                           [](auto& a, auto& b) { return a.price < b.price; });
+      const unsigned wanted = (u.units + best.per_machine - 1) / best.per_machine;
+      auto& on_the_way = coming[book.kind_of(best.flavor->name)];
+      if (on_the_way >= wanted) {
+        on_the_way -= wanted;
+        continue;
+      }
+      count = std::min(wanted - on_the_way, kMostAtOnce);
+      kind = best.flavor->name;
+      yard = *best.yard;
+      loaner = best.loaner;
+      // The epoch is of this term alone, so no other controller or process ever uses the name again.
+      rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
+    }
+    if (kind.empty()) return;
+  }
+  const auto r = cloud.post(kRentPath, rent_body(rental, kind, yard, loaner, count), kCloudTimeout);
+  Lock lock(mutex_);
+  if (r.ok()) {
+    try {
+      const auto names = parse_rented(r.body);
+      spdlog::info("rented {} of {} {} in {}{}", names.size(), count, kind, yard, loaner ? ", spot" : "");
+      if (role_ == Role::leading) {
+        for (const auto& name : names) {
+          const HostIdx h = term_->book->host_named(name);
+          Host& host = term_->book->host(h);
+          term_->book->describe(h, "", kind, yard, loaner);
+          if (!host.reported) {
+            host.listed = true;
+            host.status = Machine::Status::booting;
+          }
+        }
+      }
+      if (names.size() < count) refused_rentals_[kind + "/" + yard + (loaner ? "/market" : "/fixed")] = steady_now() + kRefusedPause;
+    } catch (const Malformed& e) {
+      spdlog::error("cloud: rental: {}", e.what());
+    }
+  } else if (r.is(503)) {
+    refused_rentals_[kind + "/" + yard + (loaner ? "/market" : "/fixed")] = steady_now() + kRefusedPause;
+  }
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/controller.hpp
@@ -0,0 +1,177 @@
+// A controller: leads when it holds the leader's key, and otherwise forwards to the one that does.
+#pragma once
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "bookkeeping/book.hpp"
+#include "coordination/dealings.hpp"
+#include "coordination/planner.hpp"
+#include "coordination/store_client.hpp"
+#include "coordination/tuning.hpp"
+#include "protocol/messages.hpp"
+#include "protocol/peer_messages.hpp"
+#include "protocol/settings.hpp"
+#include "transport/frames.hpp"
+#include "transport/http.hpp"
+
+namespace thistle {
+
+class Controller {
+ public:
+  Controller(Settings settings, Tuning tuning);
+  ~Controller();
+  // Serves until asked to stop.
+  void run(std::stop_token stop);
+
+ private:
+  using Lock = std::unique_lock<std::mutex>;
+  enum class Role { follower, recovering, leading };
+
+  // One term of leadership: all that goes when it ends.
+  struct Term {
+    std::uint64_t takeover_epoch = 0;  // of the takeover
+    std::uint64_t epoch = 0;           // now; raised to fence commands in doubt
+    std::uint64_t hold = 0;
+    double valid_until = 0;            // steady: until then no one else can lead
+    double taken_over_at = 0;
+    double peers_acked_at = -1;
+    bool bump_wanted = false;
+    std::unique_ptr<Book> book;        // set when recovered
+    // The ledger's tail, as the committer knows it
+    std::uint64_t next_entry = 0, seq = 0, tail_stamp = 0;
+    std::string tail;                  // encoded records of the newest entry, joined by commas
+    std::size_t entries = 0;           // kept since the last snapshot
+    std::uint64_t first_entry = 0;
+  };
+
+  // ---- requests (requests.cpp)
+  HttpReply on_http(const HttpCall& call);
+  Frame on_frame(const Frame& frame);
+  HttpReply on_user(const UserRoute& route, std::string_view body);
+  HttpReply submit(Lock& lock, std::string_view body);
+  HttpReply status(Lock& lock, const std::string& uid);
+  HttpReply withdraw(Lock& lock, const std::string& uid);
+  HttpReply forward(Lock& lock, const HttpCall& call);
+  HttpReply on_report(std::string_view body, bool forwarded);
+  HttpReply health();
+  HttpReply metrics();
+
+  // ---- leadership (leadership.cpp)
+  void leadership_duty(std::stop_token stop);
+  bool take_leadership(StoreClient& store, std::stop_token stop);
+  void lead(StoreClient& store, std::stop_token stop);
+  void peer_duty(std::stop_token stop, std::size_t peer);
+  void learn(std::uint64_t epoch, const std::string& label);
+  void step_down(Lock& lock, const char* why);
+  // Leads for certain at this moment: may decide, and may tell users what the book says.
+  bool decisive() const;
+
+  // ---- ledger (ledger.cpp)
+  void ledger_duty(std::stop_token stop);
+  bool recover(StoreClient& store, std::stop_token stop, std::uint64_t term);
+  bool commit(StoreClient& store, std::stop_token stop, Lock& lock);
+  bool bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock);
+  bool snapshot(StoreClient& store, std::stop_token stop, Lock& lock);
+  std::uint64_t enqueue(std::vector<Record> records);
+  // Waits until the record with this ticket is in the ledger and applied; false when that is not certain.
+  bool wait_applied(Lock& lock, std::uint64_t ticket, double timeout_s);
+  void pace_writes(std::size_t puts, std::stop_token stop);
+
+  // ---- passes (passes.cpp)
+  void pass_duty(std::stop_token stop);
+  void pass(Lock& lock);
+  PlanInput plan_input(double wall, double steady);
+  PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
+  void want_pass();
+
+  // ---- workers (workers.cpp)
+  struct HostDuty {
+    std::condition_variable_any wake;
+    bool poked = false;
+    bool greet = false;
+    double not_before = 0;
+    std::jthread thread;
+  };
+  void poke(HostIdx h, bool greet = false);
+  void poke_placed(const Job& job);
+  void host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t term);
+  void absorb(const Report& report, bool by_report);
+
+  // ---- cloud (cloud.cpp)
+  void cloud_duty(std::stop_token stop);
+  bool learn_flavors(HttpClient& cloud);
+  bool list_machines(HttpClient& cloud);
+  void rent(HttpClient& cloud);
+  void release_dead(HttpClient& cloud);
+
+  Settings settings_;
+  Tuning tuning_;
+  const std::uint64_t incarnation_;
+
+  mutable std::mutex mutex_;
+  Role role_ = Role::follower;
+  std::uint64_t term_number_ = 0;  // counts terms of this process; threads of an old one leave
+  std::unique_ptr<Term> term_;
+  std::uint64_t known_epoch_ = 0;
+  std::string known_leader_;
+  double follower_since_ = 0, last_beat_ = 0;
+  double store_failing_since_ = 0;  // 0: the last write went through
+
+  std::condition_variable_any role_changed_;
+  std::condition_variable_any queue_filled_;
+  std::condition_variable_any applied_;
+  std::condition_variable_any pass_wanted_;
+  struct Queued {
+    Record record;
+    std::uint64_t ticket;
+  };
+  std::deque<Queued> queue_;
+  std::uint64_t tickets_ = 0, applied_ticket_ = 0;
+  std::unordered_map<std::string, std::uint64_t> accepting_;  // uid -> ticket
+  bool pass_due_ = false;
+  double write_tokens_ = 0, write_tokens_at_ = 0;
+  std::mt19937_64 random_;
+
+  std::vector<Plan::Unserved> unserved_;
+  std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
+  std::vector<std::unique_ptr<HostDuty>> ended_duties_;
+  struct Bounce {
+    double redirected_at = -1e9, forward_until = -1e9;
+  };
+  std::unordered_map<std::string, Bounce> bounces_;
+  // Reports answered while the ledger was still being read: their leases count from then.
+  std::unordered_map<std::string, double> early_answers_;
+  std::map<std::string, double> refused_rentals_;  // kind/zone/market -> steady time to try again
+  std::uint64_t rentals_ = 0;
+
+  struct PeerLink {
+    Settings::Peer peer;
+    std::unique_ptr<FramePool> calls;  // users' requests and reports, when the peer leads
+    std::unique_ptr<FramePool> beats;
+    std::uint64_t acked_epoch = 0;
+  };
+  std::vector<PeerLink> links_;
+
+  struct Counters {
+    std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, passes{0},
+        commits{0}, reports{0};
+    std::atomic<double> pass_seconds{0}, commit_seconds{0};
+  } counters_;
+
+  std::unique_ptr<FrameServer> frame_server_;
+  std::unique_ptr<HttpServer> http_server_;
+  std::vector<std::jthread> duties_;
+};
+
+HttpReply error_reply(unsigned status, std::string_view reason, int retry_after_s = 0);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/dealings.cpp
@@ -0,0 +1,236 @@
+#include "coordination/dealings.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+namespace {
+
+// Clocks of different machines diverge by at most this share.
+constexpr double kClockDrift = 0.001;
+constexpr double kExpiryMargin = 0.3;
+constexpr double kNoRoomPause = 3.0;
+constexpr double kLongestBackoff = 60.0;
+constexpr std::size_t kFailuresToSetAside = 2;
+// Orders in one message: well inside 64 KiB.
+constexpr std::size_t kMostOrders = 400;
+
+// Collects ends of tasks, joined into one record for a job and attempt.
+class Ends {
+ public:
+  void done(const Book& book, PieceRef ref) {
+    auto& r = done_[ref.job];
+    r.uid = book.job(ref.job).uid;
+    add_to(r.tasks, ref.task);
+  }
+  void off(const Book& book, PieceRef ref, std::uint64_t attempt) {
+    auto& r = off_[{ref.job, attempt}];
+    r.uid = book.job(ref.job).uid;
+    r.attempt = attempt;
+    add_to(r.tasks, ref.task);
+  }
+  std::vector<Record> take() {
+    std::vector<Record> out;
+    for (auto& [j, r] : done_) out.emplace_back(std::move(r));
+    for (auto& [k, r] : off_) out.emplace_back(std::move(r));
+    return out;
+  }
+
+ private:
+  std::map<JobIdx, DoneRecord> done_;
+  std::map<std::pair<JobIdx, std::uint64_t>, OffRecord> off_;
+};
+
+bool owned(const Placement* p, HostIdx h, std::uint64_t tenure, std::uint64_t attempt) {
+  return p && p->host == h && p->tenure == tenure && p->attempt == attempt;
+}
+
+void note_failure(Book& book, HostIdx h, JobIdx j, Cause cause, Moment now) {
+  Host& host = book.host(h);
+  Job& job = book.job(j);
+  if (cause == Cause::no_room || cause == Cause::busy) {
+    host.no_room_until = now.steady + kNoRoomPause;
+    return;
+  }
+  if (cause != Cause::error && cause != Cause::unknown) return;
+  ++job.failures;
+  job.failed_on.insert(h);
+  // A job that fails on several machines is at fault itself: it backs off, and does not count against them.
+  if (job.failed_on.size() >= 2) {
+    job.not_before = now.wall + std::min(kLongestBackoff, 2.0 * static_cast<double>(1u << std::min(job.failures, 5u)));
+    for (auto other : job.failed_on) book.host(other).failed_jobs.erase(j);
+    job.failed_on.clear();
+  } else {
+    host.failed_jobs.insert(j);
+    if (host.failed_jobs.size() >= kFailuresToSetAside) host.set_aside = true;
+  }
+}
+
+}  // namespace
+
+void stop_task(Placement& p, double wind_down_s) {
+  p.stopping = true;
+  p.wind_down_s = wind_down_s;
+}
+
+ReportOutcome take_report(Book& book, const Report& report, Moment now, bool by_report,
+                          std::uint64_t fence_epoch) {
+  ReportOutcome out;
+  const HostIdx h = book.host_named(report.host);
+  Host& host = book.host(h);
+  if (host.gone || std::pair(report.tenure, report.serial) <= std::pair(host.tenure, host.serial)) {
+    out.stale = true;
+    return out;
+  }
+  if (!host.reported || host.lost) out.changed = true;
+  book.describe(h, report.address, report.kind, report.yard, report.loaner);
+  Ends ends;
+  if (report.tenure > host.tenure) {
+    // A later tenure: the worker forgot all it held, and commands of the earlier one are refused.
+    for (const auto& ref : host.placed) {
+      Placement* p = book.placement(ref);
+      if (p && p->tenure < report.tenure && !p->closing) {
+        p->closing = true;
+        ends.off(book, ref, p->attempt);
+        out.changed = true;
+      }
+    }
+    host.doubt_epoch = 0;
+  }
+  host.tenure = report.tenure;
+  host.serial = report.serial;
+  host.epoch_seen = std::max(host.epoch_seen, report.epoch);
+  host.reported = true;
+  host.lost = false;
+  host.reported_at = now.steady;
+  if (report.recall_s) {
+    if (!host.recall_at) out.changed = true;
+    host.recall_at = now.steady + *report.recall_s;
+  }
+  if (host.doubt_epoch != 0 && report.epoch > host.doubt_epoch) host.doubt_epoch = 0;
+
+  host.pieces.clear();
+  for (const auto& piece : report.pieces) {
+    SeenPiece seen;
+    seen.ref = {book.find(piece.id.uid), piece.id.task};
+    seen.attempt = piece.attempt;
+    seen.phase = piece.phase;
+    if (!seen.ref.job.valid()) seen.uid = piece.id.uid;
+    Placement* p = book.placement(seen.ref);
+    host.pieces.push_back(std::move(seen));
+    if (!owned(p, h, report.tenure, piece.attempt)) continue;
+    const PieceRef ref = host.pieces.back().ref;
+    p->seen = true;
+    if (p->phase != piece.phase) {
+      p->phase = piece.phase;
+      if (piece.phase == Phase::running && p->running_at == 0) p->running_at = now.wall;
+    }
+    if (piece.phase != Phase::exited || p->closing) continue;
+    p->closing = true;
+    out.changed = true;
+    if (piece.cause == Cause::done) {
+      ends.done(book, ref);
+    } else {
+      ends.off(book, ref, p->attempt);
+      note_failure(book, h, ref.job, piece.cause, now);
+    }
+  }
+  std::sort(host.pieces.begin(), host.pieces.end(),
+            [](const SeenPiece& a, const SeenPiece& b) { return a.ref < b.ref; });
+  // A stopped task that the worker does not hold: it is off only when no start can still be on its way.
+  if (by_report && report.epoch >= fence_epoch && host.clean(report.epoch)) {
+    for (const auto& ref : host.placed) {
+      Placement* p = book.placement(ref);
+      if (!p || !p->stopping || p->closing || p->tenure != report.tenure) continue;
+      const bool there = std::any_of(host.pieces.begin(), host.pieces.end(), [&](const SeenPiece& s) {
+        return s.ref == ref && s.attempt == p->attempt;
+      });
+      if (there) continue;
+      p->closing = true;
+      out.changed = true;
+      ends.off(book, ref, p->attempt);
+    }
+  }
+  out.records = ends.take();
+  return out;
+}
+
+std::vector<Order> orders_for(const Book& book, HostIdx h, std::uint64_t epoch) {
+  std::vector<Order> out;
+  const Host& host = book.host(h);
+  if (host.gone || host.lost || host.tenure == 0) return out;
+  const auto find = [&](PieceRef ref, std::uint64_t attempt) -> const SeenPiece* {
+    auto it = std::lower_bound(host.pieces.begin(), host.pieces.end(), ref,
+                               [](const SeenPiece& s, PieceRef r) { return s.ref < r; });
+    for (; it != host.pieces.end() && it->ref == ref; ++it)
+      if (it->attempt == attempt) return &*it;
+    return nullptr;
+  };
+  // Stops and reaps first: they make the room that starts need.
+  const bool clean = host.clean(host.epoch_seen) && host.epoch_seen >= epoch;
+  for (const auto& s : host.pieces) {
+    if (out.size() >= kMostOrders) return out;
+    const Placement* p = s.ref.job.valid() ? const_cast<Book&>(book).placement(s.ref) : nullptr;
+    const std::string& uid = s.ref.job.valid() ? book.job(s.ref.job).uid : s.uid;
+    if (owned(p, h, host.tenure, s.attempt)) {
+      if (p->stopping && s.phase != Phase::exited && s.phase != Phase::saving)
+        out.push_back({Verb::kill, {uid, s.ref.task}, s.attempt, p->wind_down_s});
+      continue;
+    }
+    if (s.phase != Phase::exited) {
+      out.push_back({Verb::kill, {uid, s.ref.task}, s.attempt, 0});
+    } else if (clean) {
+      // Its outcome is in the ledger. While a start may still be on its way it must stay known to the worker.
+      out.push_back({Verb::reap, {uid, s.ref.task}, s.attempt, 0});
+    }
+  }
+  for (const auto& ref : host.placed) {
+    if (out.size() >= kMostOrders) return out;
+    const Placement* p = const_cast<Book&>(book).placement(ref);
+    if (!p || p->closing || p->tenure != host.tenure || find(ref, p->attempt)) continue;
+    const Job& job = book.job(ref.job);
+    if (p->stopping) {
+      out.push_back({Verb::kill, {job.uid, ref.task}, p->attempt, p->wind_down_s});
+    } else {
+      out.push_back({Verb::run, {job.uid, ref.task}, p->attempt, 0});
+    }
+  }
+  return out;
+}
+
+bool lease_over(const Host& host, const Fencing& fencing, double lease_s, double steady) {
+  double since = host.answered_at;
+  if (host.epoch_seen < fencing.epoch) {
+    // Another controller may have answered it under an older epoch until it learned of this one.
+    if (fencing.peers_acked_at < 0) return false;
+    since = std::max({since, fencing.peers_acked_at, fencing.taken_over_at});
+  }
+  return steady > since + lease_s * (1 + kClockDrift) + kExpiryMargin;
+}
+
+std::vector<Record> clear_host(Book& book, HostIdx h) {
+  Ends ends;
+  for (const auto& ref : book.host(h).placed) {
+    Placement* p = book.placement(ref);
+    if (!p || p->closing) continue;
+    p->closing = true;
+    ends.off(book, ref, p->attempt);
+  }
+  return ends.take();
+}
+
+bool stop_broken_gangs(Book& book) {
+  bool any = false;
+  for (JobIdx j : book.live()) {
+    Job& job = book.job(j);
+    if (job.spec.shape != Shape::group || job.placed.empty() || job.waiting == 0 || job.done > 0) continue;
+    for (auto& [task, p] : job.placed) {
+      if (p.stopping) continue;
+      stop_task(p, 0);
+      any = true;
+    }
+  }
+  return any;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/dealings.hpp
@@ -0,0 +1,47 @@
+// Dealings with workers: what a report means for the book, and which orders a worker is due. Pure.
+#pragma once
+#include <cstdint>
+#include <vector>
+
+#include "bookkeeping/book.hpp"
+
+namespace thistle {
+
+struct Moment {
+  double steady = 0, wall = 0;
+};
+
+// What came out of a report. The records go to the ledger; the book changes when they are durable.
+struct ReportOutcome {
+  bool stale = false;     // older than one already seen: nothing was taken from it
+  bool changed = false;   // something a pass may want to know
+  std::vector<Record> records;
+};
+
+// `by_report`: it came as a report (and not as the answer to a direct command), so every answer this worker was
+// given before has been executed or dropped.
+// `fence_epoch`: of this leader's takeover; a worker that has seen it executes no earlier leader's commands.
+ReportOutcome take_report(Book& book, const Report& report, Moment now, bool by_report, std::uint64_t fence_epoch);
+
+// The orders that bring the worker from what it last reported to what the book says.
+std::vector<Order> orders_for(const Book& book, HostIdx h, std::uint64_t epoch);
+
+// Marks a placed task for stopping.
+void stop_task(Placement& p, double wind_down_s);
+
+// Since when no one can have answered a host's reports but this leader.
+struct Fencing {
+  std::uint64_t epoch = 0;          // of this leader's takeover
+  double taken_over_at = 0;         // steady seconds
+  double peers_acked_at = -1;       // steady seconds; below 0: some peer may still answer under an older epoch
+};
+// Whether the worker's lease is over for certain, wherever its reports were answered.
+bool lease_over(const Host& host, const Fencing& fencing, double lease_s, double steady);
+
+// Ends of everything placed on a host that is known to be empty: its lease is over, or it was released.
+std::vector<Record> clear_host(Book& book, HostIdx h);
+
+// Gangs that lost a task are stopped, so that they can be planned anew.
+bool stop_broken_gangs(Book& book);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/leadership.cpp
@@ -0,0 +1,211 @@
+// Leadership: one key attached to a hold; its stamp is the epoch.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/controller.hpp"
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+
+namespace {
+constexpr double kClockDrift = 0.001;
+constexpr double kValidMargin = 0.05;
+constexpr double kBeatPeriod = 0.5;
+constexpr unsigned kFollowMs = 10000;
+}  // namespace
+
+void Controller::leadership_duty(std::stop_token stop) {
+  StoreClient store(settings_.state);
+  std::stop_callback abort(stop, [&] { store.abort(); });
+  while (!stop.stop_requested()) {
+    Row row;
+    const auto got = store.get(kLeaderKey, row);
+    if (got == StoreStatus::missing) {
+      // Controllers that saw the key go at the same moment try one after the other.
+      double jitter = 0;
+      {
+        Lock lock(mutex_);
+        jitter = std::uniform_real_distribution<double>(0, 0.05)(random_);
+      }
+      if (!pause_for(stop, jitter)) return;
+      if (take_leadership(store, stop)) lead(store, stop);
+      continue;
+    }
+    if (got != StoreStatus::ok) {
+      if (!pause_for(stop, 0.3)) return;
+      continue;
+    }
+    LeaderValue leader;
+    try {
+      leader = parse_leader(row.value);
+    } catch (const std::exception& e) {
+      spdlog::error("state service: leader key: {}", e.what());
+      if (!pause_for(stop, 1)) return;
+      continue;
+    }
+    {
+      Lock lock(mutex_);
+      learn(row.stamp, leader.label);
+    }
+    // An earlier process of this controller may have left the key; it goes when its hold ends.
+    if (store.follow(kLeaderKey, row.stamp, kFollowMs) != StoreStatus::ok && !pause_for(stop, 0.3)) return;
+  }
+}
+
+bool Controller::take_leadership(StoreClient& store, std::stop_token stop) {
+  std::uint64_t hold = 0;
+  const double asked = steady_now();
+  if (store.hold(tuning_.hold_ms, hold) != StoreStatus::ok) {
+    pause_for(stop, 0.2);
+    return false;
+  }
+  const auto body =
+      txn_body({{kLeaderKey, 0}}, {{kLeaderKey, leader_value({settings_.label, incarnation_}), hold}}, {});
+  std::uint64_t epoch = 0;
+  std::vector<std::string> failed;
+  auto status = store.txn(body, epoch, failed);
+  if (status == StoreStatus::in_doubt || status == StoreStatus::conflict) {
+    // It may have been applied all the same: the key tells.
+    Row row;
+    if (store.get(kLeaderKey, row) == StoreStatus::ok) {
+      try {
+        if (parse_leader(row.value).incarnation == incarnation_) {
+          status = StoreStatus::ok;
+          epoch = row.stamp;
+        }
+      } catch (const std::exception& e) {
+        spdlog::error("state service: leader key: {}", e.what());
+      }
+    }
+  }
+  if (status != StoreStatus::ok) {
+    store.drop(hold);
+    return false;
+  }
+  Lock lock(mutex_);
+  term_ = std::make_unique<Term>();
+  term_->takeover_epoch = term_->epoch = epoch;
+  term_->hold = hold;
+  term_->taken_over_at = steady_now();
+  term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
+  if (links_.empty()) term_->peers_acked_at = term_->taken_over_at;
+  ++term_number_;
+  role_ = Role::recovering;
+  learn(epoch, settings_.label);
+  spdlog::info("takes over as leader, epoch {}", epoch);
+  role_changed_.notify_all();
+  return true;
+}
+
+void Controller::lead(StoreClient& store, std::stop_token stop) {
+  std::uint64_t hold = 0, number = 0;
+  {
+    Lock lock(mutex_);
+    if (!term_) return;
+    hold = term_->hold;
+    number = term_number_;
+  }
+  bool uncertain = false;
+  while (pause_for(stop, tuning_.hold_ms / 1000.0 / 4)) {
+    {
+      Lock lock(mutex_);
+      if (term_number_ != number || role_ == Role::follower) break;
+    }
+    const double asked = steady_now();
+    const auto status = store.renew(hold);
+    Lock lock(mutex_);
+    if (term_number_ != number || role_ == Role::follower) break;
+    if (status == StoreStatus::ok) {
+      term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
+      if (uncertain) {
+        spdlog::info("leadership is certain again");
+        want_pass();
+      }
+      uncertain = false;
+    } else if (status == StoreStatus::missing || status == StoreStatus::refused) {
+      step_down(lock, "its hold ended");
+      break;
+    } else if (!uncertain && steady_now() >= term_->valid_until) {
+      // An outage, or a refusal of this controller alone: it can't tell. It answers workers with its epoch, so
+      // that their leases do not lapse, and decides nothing until it knows.
+      uncertain = true;
+      spdlog::info("the hold could not be renewed: leadership is uncertain");
+    }
+  }
+  if (stop.stop_requested()) {
+    StoreClient last(settings_.state);
+    last.drop(hold);
+  }
+}
+
+void Controller::step_down(Lock&, const char* why) {
+  if (role_ == Role::follower) return;
+  spdlog::info("no longer leader (epoch {}): {}", term_->epoch, why);
+  role_ = Role::follower;
+  follower_since_ = steady_now();
+  ++term_number_;
+  queue_.clear();
+  accepting_.clear();
+  early_answers_.clear();
+  unserved_.clear();
+  term_.reset();
+  for (auto& [h, duty] : host_duties_) {
+    duty->thread.request_stop();
+    duty->wake.notify_all();
+    ended_duties_.push_back(std::move(duty));
+  }
+  host_duties_.clear();
+  for (auto& link : links_) link.acked_epoch = 0;
+  if (known_leader_ == settings_.label) known_leader_.clear();
+  role_changed_.notify_all();
+  queue_filled_.notify_all();
+  applied_.notify_all();
+  pass_wanted_.notify_all();
+}
+
+void Controller::learn(std::uint64_t epoch, const std::string& label) {
+  if (epoch < known_epoch_) return;
+  if (epoch > known_epoch_ || known_leader_.empty()) {
+    if (label != known_leader_ && !label.empty()) spdlog::info("leader is {}, epoch {}", label, epoch);
+    known_epoch_ = epoch;
+    known_leader_ = label;
+  }
+}
+
+void Controller::peer_duty(std::stop_token stop, std::size_t peer) {
+  auto& link = links_[peer];
+  bool reached = true;
+  while (pause_for(stop, kBeatPeriod)) {
+    Beat beat;
+    {
+      Lock lock(mutex_);
+      role_changed_.wait(lock, stop, [&] { return role_ != Role::follower; });
+      if (stop.stop_requested()) return;
+      beat = {settings_.label, term_->epoch};
+    }
+    const auto answer = link.beats->ask(pack(beat), 1.0);
+    const auto ack = answer ? unpack_ack(*answer) : std::nullopt;
+    if (reached != ack.has_value()) {
+      reached = ack.has_value();
+      spdlog::info("peer {} {}", link.peer.label, reached ? "answers" : "does not answer");
+    }
+    if (!ack) continue;
+    Lock lock(mutex_);
+    if (role_ == Role::follower) continue;
+    if (ack->epoch > term_->epoch) {
+      learn(ack->epoch, ack->leader);
+      step_down(lock, "a peer knows of a higher epoch");
+      continue;
+    }
+    link.acked_epoch = std::max(link.acked_epoch, ack->epoch);
+    if (term_->peers_acked_at < 0) {
+      const bool all = std::all_of(links_.begin(), links_.end(),
+                                   [&](auto& l) { return l.acked_epoch >= term_->takeover_epoch; });
+      if (all) term_->peers_acked_at = steady_now();
+    }
+  }
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/passes.cpp
@@ -0,0 +1,187 @@
+// The pass: ends of leases, broken gangs, the timetable, and one commit of what it starts.
+#include <spdlog/spdlog.h>
+
+#include "coordination/controller.hpp"
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+
+namespace {
+constexpr double kIdlePeriod = 1.0;        // a pass at least this often
+constexpr double kStartWait = 30.0;
+constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
+constexpr double kDrainSlack = 1.0;
+constexpr double kUnlimited = 1e15;
+}  // namespace
+
+void Controller::pass_duty(std::stop_token stop) {
+  Lock lock(mutex_);
+  while (!stop.stop_requested()) {
+    pass_wanted_.wait_for(lock, stop, std::chrono::duration<double>(kIdlePeriod), [&] { return pass_due_; });
+    if (stop.stop_requested()) return;
+    pass_due_ = false;
+    if (decisive()) {
+      pass(lock);
+      ended_duties_.clear();
+    }
+    lock.unlock();
+    if (!pause_for(stop, tuning_.pass_period_s)) return;
+    lock.lock();
+  }
+}
+
+PlanJob Controller::plan_job(JobIdx j, const PlanInput& in, double wall) {
+  const Book& book = *term_->book;
+  const Job& job = book.job(j);
+  PlanJob out;
+  out.job = j;
+  out.units = job.waiting;
+  out.gang = job.spec.shape == Shape::group;
+  out.service = job.spec.shape == Shape::service;
+  out.need = job.spec.need;
+  out.run_s = job.spec.expected_s;
+  out.pull_gb = job.spec.pull_gb;
+  out.image = job.image;
+  out.team = job.team;
+  out.key = key_of(job.draw, job.spec.expected_s, tuning_.weight, wall - job.accepted_at, out.service);
+  out.kinds = job.kinds;
+  out.yard = job.yard;
+  out.one_zone = job.spec.one_zone;
+  out.loaners = job.spec.loaners;
+  if (job.spec.spread) out.zone_cap = (job.spec.pieces + 1) / 2;
+  out.zone_used.assign(book.zone_count(), 0);
+  out.avoid.assign(job.failed_on.begin(), job.failed_on.end());
+  for (const auto& [task, p] : job.placed) {
+    const ZoneIdx zone = book.host(p.host).zone;
+    if (zone.valid()) ++out.zone_used[zone.v];
+  }
+  if (out.service && !job.placed.empty()) {
+    out.host_used.assign(in.hosts.size(), 0);
+    for (std::size_t i = 0; i < in.hosts.size(); ++i)
+      for (const auto& [task, p] : job.placed)
+        if (p.host == in.hosts[i].host) ++out.host_used[i];
+  }
+  return out;
+}
+
+PlanInput Controller::plan_input(double wall, double steady) {
+  Book& book = *term_->book;
+  PlanInput in;
+  in.now = wall;
+  in.overrun_s = tuning_.overrun_s;
+  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+    const Host& host = book.host(HostIdx{i});
+    const Flavor* flavor = book.flavor(host.kind);
+    if (!flavor || !host.reported || host.lost || host.gone || host.set_aside) continue;
+    if (host.recall_at || host.no_room_until > steady) continue;
+    if (steady - host.reported_at > kSilentReports * settings_.report_s + kDrainSlack) continue;
+    PlanHost p;
+    p.host = HostIdx{i};
+    p.kind = host.kind;
+    p.zone = host.zone;
+    p.loaner = host.loaner;
+    p.room = flavor->room;
+    p.fetch_gb_per_s = flavor->fetch_gb_per_s;
+    for (const auto& image : host.images) p.images.push_back(image.first);
+    for (const auto& ref : host.placed) {
+      const Placement* at = book.placement(ref);
+      const Job& job = book.job(ref.job);
+      if (!at) continue;
+      double until = kForever;
+      if (at->stopping) {
+        until = wall + at->wind_down_s + 1;
+      } else if (job.spec.shape != Shape::service) {
+        until = (at->running_at > 0 ? at->running_at : std::max(at->at, wall - 1)) + job.spec.expected_s;
+      }
+      p.occupants.push_back({job.spec.need, until});
+    }
+    // What the worker still holds and the book no longer places there is on its way out.
+    for (const auto& s : host.pieces) {
+      if (s.phase == Phase::exited || !s.ref.job.valid()) continue;
+      const Placement* at = book.placement(s.ref);
+      if (at && at->host == HostIdx{i} && at->attempt == s.attempt) continue;
+      const Job& job = book.job(s.ref.job);
+      if (!job.tasks.empty()) p.occupants.push_back({job.spec.need, wall + settings_.report_s});
+    }
+    in.hosts.push_back(std::move(p));
+  }
+  for (const auto& t : book.teams()) {
+    TeamRoom room;
+    room.left.cores = t.limit.cores > 0 ? t.limit.cores - t.used.cores : kUnlimited;
+    room.left.accelerators = t.limit.accelerators > 0 ? t.limit.accelerators - t.used.accelerators : kUnlimited;
+    room.left.ram_gb = kUnlimited;
+    in.teams.push_back(room);
+  }
+  for (JobIdx j : book.live()) {
+    const Job& job = book.job(j);
+    if (job.ended() || job.waiting == 0 || job.not_before > wall) continue;
+    // A gang is one unit: all of its tasks must be off their machines before it is planned again.
+    if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
+    in.jobs.push_back(plan_job(j, in, wall));
+  }
+  return in;
+}
+
+void Controller::pass(Lock& lock) {
+  const double steady = steady_now(), wall = wall_now();
+  const auto number = term_number_;
+  Book& book = *term_->book;
+  const Fencing fencing{term_->takeover_epoch, term_->taken_over_at, term_->peers_acked_at};
+  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+    Host& host = book.host(HostIdx{i});
+    if (host.lost || host.gone || !lease_over(host, fencing, settings_.lease_s, steady)) continue;
+    host.lost = true;
+    if (host.placed.empty()) continue;
+    spdlog::info("{}: its lease is over, {} tasks are off it", host.name, host.placed.size());
+    enqueue(clear_host(book, HostIdx{i}));
+  }
+  std::set<HostIdx> touched;
+  if (stop_broken_gangs(book)) {
+    for (JobIdx j : book.live())
+      for (const auto& [task, p] : book.job(j).placed)
+        if (p.stopping) touched.insert(p.host);
+  }
+  auto plan = make_plan(plan_input(wall, steady));
+  unserved_ = plan.unserved;
+  // Slots that are now become task numbers; one attempt number for all starts of a job in this pass.
+  std::map<JobIdx, StartRecord> starts;
+  std::map<JobIdx, std::uint32_t> next_task;
+  for (const auto& slot : plan.starts) {
+    Job& job = book.job(slot.job);
+    auto& record = starts[slot.job];
+    if (record.parts.empty()) {
+      record.uid = job.uid;
+      record.attempt = job.attempts + 1;
+      record.at = wall;
+    }
+    const Host& host = book.host(slot.host);
+    StartRecord::Part part{host.name, host.tenure, {}};
+    auto& task = next_task[slot.job];
+    for (std::uint32_t n = 0; n < slot.count && task < job.tasks.size(); ++task) {
+      if (job.tasks[task] != TaskState::waiting) continue;
+      add_to(part.tasks, task);
+      ++n;
+    }
+    if (!part.tasks.empty()) record.parts.push_back(std::move(part));
+    touched.insert(slot.host);
+  }
+  ++counters_.passes;
+  counters_.pass_seconds = counters_.pass_seconds + (steady_now() - steady);
+  if (!starts.empty()) {
+    std::vector<Record> records;
+    for (auto& [j, r] : starts) {
+      for (const auto& part : r.parts)
+        for (const auto& range : part.tasks) counters_.started += range.last - range.first;
+      records.emplace_back(std::move(r));
+    }
+    const auto ticket = enqueue(std::move(records));
+    // Nothing starts, and no other pass is made, until it is certain that the ledger has it.
+    while (!wait_applied(lock, ticket, kStartWait))
+      if (term_number_ != number) return;
+    if (!decisive()) return;  // the reports' answers carry the starts once leadership is certain again
+  }
+  for (auto h : touched) poke(h);
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/planner.cpp
@@ -0,0 +1,295 @@
+#include "coordination/planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+
+namespace thistle {
+
+namespace {
+
+constexpr double kEstimateFloor = 10.0;
+
+std::uint32_t whole_units(const Resources& need, const Resources& room) {
+  double n = 1e6;
+  constexpr double slack = 1e-6;
+  if (need.cores > 0) n = std::min(n, (room.cores + slack) / need.cores);
+  if (need.accelerators > 0) n = std::min(n, (room.accelerators + slack) / need.accelerators);
+  if (need.ram_gb > 0) n = std::min(n, (room.ram_gb + slack) / need.ram_gb);
+  return n < 1 ? 0 : static_cast<std::uint32_t>(n);
+}
+
+}  // namespace
+
+double key_of(double draw, double estimate_s, double weight, double waited_s, bool service) {
+  const double delay = weight * std::max(0.0, waited_s);
+  return service ? delay : draw / std::max(estimate_s, kEstimateFloor) + delay;
+}
+
+Profile::Profile(const PlanHost& host, double now, double overrun_s) : until_(host.usable_until) {
+  Resources free = host.room;
+  std::vector<PlanHost::Occupant> ends = host.occupants;
+  for (auto& o : ends) {
+    if (o.until <= now) o.until = now + overrun_s;
+    free -= o.need;
+  }
+  std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.until < b.until; });
+  steps_.push_back({now, free});
+  for (const auto& o : ends) {
+    if (o.until == kForever) break;
+    free += o.need;
+    if (o.until <= steps_.back().at) {
+      steps_.back().free = free;
+    } else {
+      steps_.push_back({o.until, free});
+    }
+  }
+}
+
+double Profile::earliest(const Resources& need, double duration, double from) const {
+  for (std::size_t i = 0; i < steps_.size();) {
+    const double at = std::max(from, steps_[i].at);
+    const double next = i + 1 < steps_.size() ? steps_[i + 1].at : kForever;
+    if (next <= from) {
+      ++i;
+      continue;
+    }
+    std::size_t j = i;
+    for (; j < steps_.size() && steps_[j].at < at + duration; ++j)
+      if (!need.fits(steps_[j].free)) break;
+    if (j == steps_.size() || steps_[j].at >= at + duration) return at >= until_ ? kForever : at;
+    i = j + 1;
+  }
+  return kForever;
+}
+
+std::uint32_t Profile::fits(const Resources& need, double at, double duration) const {
+  if (at >= until_) return 0;
+  std::uint32_t n = UINT32_MAX;
+  for (std::size_t i = 0; i < steps_.size(); ++i) {
+    const double next = i + 1 < steps_.size() ? steps_[i + 1].at : kForever;
+    if (next <= at) continue;
+    if (steps_[i].at >= at + duration) break;
+    n = std::min(n, whole_units(need, steps_[i].free));
+  }
+  return n;
+}
+
+std::size_t Profile::cut(double at) {
+  auto it = std::lower_bound(steps_.begin(), steps_.end(), at, [](const Step& s, double t) { return s.at < t; });
+  const auto pos = static_cast<std::size_t>(it - steps_.begin());
+  if (it != steps_.end() && it->at == at) return pos;
+  steps_.insert(it, Step{at, steps_[pos - 1].free});
+  return pos;
+}
+
+void Profile::take(const Resources& amount, double at, double duration) {
+  const auto first = cut(at);
+  const auto last = duration == kForever ? steps_.size() : cut(at + duration);
+  for (auto i = first; i < last; ++i) steps_[i].free -= amount;
+}
+
+namespace {
+
+class Planner {
+ public:
+  explicit Planner(PlanInput input) : in_(std::move(input)) {
+    profiles_.reserve(in_.hosts.size());
+    for (const auto& h : in_.hosts) profiles_.emplace_back(h, in_.now, in_.overrun_s);
+  }
+
+  Plan run() {
+    std::stable_sort(in_.jobs.begin(), in_.jobs.end(), [](const PlanJob& a, const PlanJob& b) {
+      return a.tier != b.tier ? a.tier > b.tier : a.key > b.key;
+    });
+    for (auto& job : in_.jobs) {
+      if (job.gang && job.units > 1) {
+        place_gang(job);
+      } else {
+        place_units(job);
+      }
+    }
+    return std::move(plan_);
+  }
+
+ private:
+  [[nodiscard]] bool allowed(const PlanJob& job, const PlanHost& host) const {
+    if (host.loaner && !job.loaners) return false;
+    if (job.yard.valid() && host.zone != job.yard) return false;
+    if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end())
+      return false;
+    if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
+    return job.need.fits(host.room);
+  }
+  [[nodiscard]] double pull_s(const PlanJob& job, const PlanHost& host) const {
+    if (std::find(host.images.begin(), host.images.end(), job.image) != host.images.end()) return 0;
+    return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
+  }
+  [[nodiscard]] double duration(const PlanJob& job, const PlanHost& host) const {
+    return job.service ? kForever : pull_s(job, host) + job.run_s;
+  }
+  [[nodiscard]] std::uint32_t team_units(const PlanJob& job) const {
+    if (!job.team.valid()) return job.units;
+    return std::min(job.units, whole_units(job.need, in_.teams[job.team.v].left));
+  }
+  void charge(const PlanJob& job, std::uint32_t units) {
+    if (job.team.valid()) in_.teams[job.team.v].left -= job.need * units;
+  }
+  static std::uint32_t& at(std::vector<std::uint32_t>& counts, std::size_t i) {
+    if (counts.size() <= i) counts.resize(i + 1, 0);
+    return counts[i];
+  }
+
+  // Lower is better among slots at the same time.
+  double cost(PlanJob& job, std::size_t h) {
+    const PlanHost& host = in_.hosts[h];
+    double c = pull_s(job, host);
+    // Machines with accelerators are left to the work that needs them while there is room elsewhere.
+    if (job.need.accelerators == 0 && host.room.accelerators > 0) c += 1000;
+    // Spot machines take what may run there, and leave the others to the work that may not.
+    if (job.loaners && host.loaner) c -= 2;
+    if (job.service) {
+      // Replicas of one job in different places, so that a lost machine or zone takes few of them.
+      c += 40.0 * at(job.host_used, h) + 20.0 * at(job.zone_used, host.zone.v);
+    }
+    // Among equals the fuller machine, so that whole machines stay free.
+    const auto& free = profiles_[h].steps().front().free;
+    return c + (host.room.cores > 0 ? free.cores / host.room.cores : 0);
+  }
+
+  void record(PlanJob& job, std::size_t h, std::uint32_t units, double t) {
+    const PlanHost& host = in_.hosts[h];
+    profiles_[h].take(job.need * units, t, duration(job, host));
+    at(job.zone_used, host.zone.v) += units;
+    at(job.host_used, h) += units;
+    (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t});
+  }
+
+  void place_units(PlanJob& job) {
+    std::uint32_t left = team_units(job);
+    if (left == 0) return;
+    struct Candidate {
+      double t, cost;
+      std::size_t h;
+      bool operator<(const Candidate& o) const {
+        return t != o.t ? t > o.t : cost != o.cost ? cost > o.cost : h > o.h;
+      }
+    };
+    std::priority_queue<Candidate> queue;
+    const auto offer = [&](std::size_t h, double from) {
+      const double t = profiles_[h].earliest(job.need, duration(job, in_.hosts[h]), from);
+      if (t < kForever) queue.push({t, cost(job, h), h});
+    };
+    for (std::size_t h = 0; h < in_.hosts.size(); ++h)
+      if (allowed(job, in_.hosts[h])) offer(h, in_.now);
+    Plan::Unserved unserved{job.job, 0, kForever};
+    while (left > 0 && !queue.empty()) {
+      const Candidate c = queue.top();
+      queue.pop();
+      const PlanHost& host = in_.hosts[c.h];
+      // What was true when it was offered may be no more: zones fill up, replicas were put there.
+      const double again = job.service ? cost(job, c.h) : c.cost;
+      if (again > c.cost + 1e-9) {
+        queue.push({c.t, again, c.h});
+        continue;
+      }
+      const std::uint32_t used = at(job.zone_used, host.zone.v);
+      if (used >= job.zone_cap) continue;
+      if (job.one_zone && zone_taken(job, host.zone)) continue;
+      std::uint32_t n = std::min(left, job.zone_cap - used);
+      n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
+      if (job.service) n = std::min(n, 1u);
+      if (n == 0) continue;
+      const bool now = c.t <= in_.now;
+      if (!now) {
+        unserved.earliest = std::min(unserved.earliest, c.t);
+        if (plan_.holds.size() >= in_.most_holds) break;
+      }
+      record(job, c.h, n, c.t);
+      charge(job, n);
+      left -= n;
+      if (!now) unserved.units += n;
+      offer(c.h, c.t);
+    }
+    unserved.units += left;
+    if (unserved.units > 0) plan_.unserved.push_back(unserved);
+  }
+
+  static bool zone_taken(const PlanJob& job, ZoneIdx zone) {
+    for (std::size_t z = 0; z < job.zone_used.size(); ++z)
+      if (z != zone.v && job.zone_used[z] > 0) return true;
+    return false;
+  }
+
+  // All units at the first time when they fit together, in one zone where the job asks for it.
+  void place_gang(PlanJob& job) {
+    if (team_units(job) < job.units) return;
+    std::vector<std::size_t> all;
+    for (std::size_t h = 0; h < in_.hosts.size(); ++h)
+      if (allowed(job, in_.hosts[h])) all.push_back(h);
+    std::vector<std::vector<std::size_t>> sets;
+    if (job.one_zone) {
+      std::size_t zones = 0;
+      for (auto h : all) zones = std::max<std::size_t>(zones, in_.hosts[h].zone.v + 1);
+      sets.resize(zones);
+      for (auto h : all)
+        if (!zone_taken(job, in_.hosts[h].zone)) sets[in_.hosts[h].zone.v].push_back(h);
+    } else {
+      sets.push_back(all);
+    }
+    double best = kForever;
+    std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
+    for (auto& hosts : sets) {
+      std::vector<double> times{in_.now};
+      for (auto h : hosts)
+        for (const auto& s : profiles_[h].steps())
+          if (s.at > in_.now) times.push_back(s.at);
+      std::sort(times.begin(), times.end());
+      times.erase(std::unique(times.begin(), times.end()), times.end());
+      for (double t : times) {
+        if (t >= best) break;
+        if (auto some = fit_at(job, hosts, t); !some.empty()) {
+          best = t;
+          chosen = std::move(some);
+          break;
+        }
+      }
+    }
+    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best});
+    if (best == kForever || (best > in_.now && plan_.holds.size() >= in_.most_holds)) return;
+    for (auto [h, n] : chosen) record(job, h, n, best);
+    charge(job, job.units);
+  }
+
+  std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(PlanJob& job, std::vector<std::size_t> hosts, double t) {
+    std::vector<std::pair<double, std::size_t>> ordered;
+    double longest = 0;
+    for (auto h : hosts) longest = std::max(longest, duration(job, in_.hosts[h]));
+    for (auto h : hosts) ordered.emplace_back(cost(job, h), h);
+    std::sort(ordered.begin(), ordered.end());
+    std::vector<std::pair<std::size_t, std::uint32_t>> out;
+    auto zones = job.zone_used;
+    std::uint32_t left = job.units;
+    for (auto [c, h] : ordered) {
+      auto& used = at(zones, in_.hosts[h].zone.v);
+      if (used >= job.zone_cap) continue;
+      const auto n = std::min({left, profiles_[h].fits(job.need, t, longest), job.zone_cap - used});
+      if (n == 0) continue;
+      used += n;
+      left -= n;
+      out.emplace_back(h, n);
+      if (left == 0) return out;
+    }
+    return {};
+  }
+
+  PlanInput in_;
+  std::vector<Profile> profiles_;
+  Plan plan_;
+};
+
+}  // namespace
+
+Plan make_plan(PlanInput input) { return Planner(std::move(input)).run(); }
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/planner.hpp
@@ -0,0 +1,110 @@
+// The pass's timetable: conservative backfilling without guarantees (Zotkin, Keleher, Perkovic). Pure.
+#pragma once
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+inline constexpr double kForever = std::numeric_limits<double>::infinity();
+
+struct PlanHost {
+  HostIdx host;
+  KindIdx kind;
+  ZoneIdx zone;
+  bool loaner = false;
+  Resources room;       // of the whole machine
+  double fetch_gb_per_s = 0;
+  double usable_until = kForever;
+  struct Occupant {
+    Resources need;
+    double until = 0;
+  };
+  std::vector<Occupant> occupants;
+  std::vector<ImageIdx> images;
+};
+
+// The waiting units of a job; those of an array or a service are alike, so they are planned as one run.
+struct PlanJob {
+  JobIdx job;
+  std::uint32_t units = 0;
+  bool gang = false;     // all units at once or none
+  bool service = false;  // runs until cancelled
+  Resources need;
+  double run_s = 0;
+  double pull_gb = 0;
+  ImageIdx image;
+  TeamIdx team;
+  int tier = 0;          // higher goes first, ahead of the key
+  double key = 0;
+  std::vector<KindIdx> kinds;  // empty: any
+  ZoneIdx yard;                // not valid: any
+  bool one_zone = false;
+  bool loaners = false;
+  std::uint32_t zone_cap = UINT32_MAX;     // most of its tasks in a zone
+  std::vector<std::uint32_t> zone_used;    // by zone: its tasks that may be there
+  std::vector<std::uint32_t> host_used;    // by position in PlanInput::hosts; empty: none
+  std::vector<HostIdx> avoid;              // hosts it failed on
+};
+
+struct TeamRoom {
+  Resources left;  // until its limit; kForever where there is none
+};
+
+struct PlanInput {
+  double now = 0;
+  double overrun_s = 30;          // an overrun counts as ending this long after the pass
+  std::size_t most_holds = 400;   // bound on held slots a pass, so that its time is bounded
+  std::vector<PlanHost> hosts;
+  std::vector<PlanJob> jobs;
+  std::vector<TeamRoom> teams;
+};
+
+struct Slot {
+  JobIdx job;
+  HostIdx host;
+  std::uint32_t count = 0;
+  double at = 0;
+};
+
+struct Plan {
+  std::vector<Slot> starts;  // now
+  std::vector<Slot> holds;   // room held for later slots
+  struct Unserved {          // units with no slot now, for renting
+    JobIdx job;
+    std::uint32_t units = 0;
+    double earliest = kForever;
+  };
+  std::vector<Unserved> unserved;
+};
+
+// A host's free room over time.
+class Profile {
+ public:
+  Profile(const PlanHost& host, double now, double overrun_s);
+  // Earliest time from `from` at which one unit fits for `duration`; kForever if never.
+  [[nodiscard]] double earliest(const Resources& need, double duration, double from) const;
+  // How many units fit all through [at, at + duration).
+  [[nodiscard]] std::uint32_t fits(const Resources& need, double at, double duration) const;
+  void take(const Resources& amount, double at, double duration);
+
+  struct Step {
+    double at;
+    Resources free;
+  };
+  [[nodiscard]] const std::vector<Step>& steps() const { return steps_; }
+
+ private:
+  std::size_t cut(double at);
+  std::vector<Step> steps_;
+  double until_;
+};
+
+Plan make_plan(PlanInput input);
+
+// random / max(estimate, 10 s) + weight x waited; services: delay alone.
+double key_of(double draw, double estimate_s, double weight, double waited_s, bool service);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/requests.cpp
@@ -0,0 +1,291 @@
+// Requests of users and workers, on the leader and on the controllers that forward to it.
+#include <spdlog/spdlog.h>
+
+#include "coordination/controller.hpp"
+#include "transport/clock.hpp"
+
+namespace thistle {
+
+namespace {
+constexpr double kCommitWait = 2.0;       // a submission not in the ledger by then is given up on
+constexpr double kForwardTimeout = 2.2;
+constexpr double kReportTimeout = 2.5;    // the worker itself waits 4 s
+constexpr double kOutageGrace = 0.5;      // writes failing for longer: submissions are refused at once
+constexpr std::size_t kMostQueued = 3000; // records waiting for the ledger before submissions are turned away
+constexpr int kRetryAfter = 1;
+constexpr double kBeatFresh = 3.0;
+constexpr double kLeaderlessGrace = 6.0;
+constexpr double kBounceWindow = 12.0;    // back within this time of a redirect: the worker can't reach the leader
+constexpr double kForwardWindow = 20.0;
+constexpr const char* kUnavailable = "not available now";
+}  // namespace
+
+HttpReply Controller::on_http(const HttpCall& call) {
+  const UserRoute route = route_of(call.method, call.target);
+  using Kind = UserRoute::Kind;
+  switch (route.kind) {
+    case Kind::unknown: return error_reply(404, "no such path");
+    case Kind::wrong_method: return error_reply(405, "wrong method");
+    case Kind::health: return health();
+    case Kind::metrics: return metrics();
+    case Kind::report: return on_report(call.body, false);
+    default: break;
+  }
+  Lock lock(mutex_);
+  if (role_ == Role::follower) return forward(lock, call);
+  lock.unlock();
+  return on_user(route, call.body);
+}
+
+Frame Controller::on_frame(const Frame& frame) {
+  if (const auto beat = unpack_beat(frame)) {
+    Lock lock(mutex_);
+    if (beat->epoch >= known_epoch_) {
+      last_beat_ = steady_now();
+      if (role_ != Role::follower && beat->epoch > term_->epoch) {
+        learn(beat->epoch, beat->label);
+        step_down(lock, "another leader has a higher epoch");
+      }
+      learn(beat->epoch, beat->label);
+    }
+    return pack(BeatAck{known_epoch_, known_leader_});
+  }
+  if (const auto call = unpack_call(frame)) {
+    const UserRoute route = route_of(call->method, call->target);
+    if (route.kind == UserRoute::Kind::report) return pack(on_report(call->body, true));
+    return pack(on_user(route, call->body));
+  }
+  spdlog::error("malformed frame from a peer, kind {}", frame.kind);
+  return pack(error_reply(400, "malformed frame"));
+}
+
+HttpReply Controller::on_user(const UserRoute& route, std::string_view body) {
+  Lock lock(mutex_);
+  if (role_ != Role::leading) {
+    ++counters_.unavailable;
+    return error_reply(503, kUnavailable, kRetryAfter);
+  }
+  HttpReply reply;
+  switch (route.kind) {
+    case UserRoute::Kind::submit: reply = submit(lock, body); break;
+    case UserRoute::Kind::status: reply = status(lock, route.uid); break;
+    case UserRoute::Kind::withdraw: reply = withdraw(lock, route.uid); break;
+    default: return error_reply(404, "no such path");
+  }
+  if (reply.status == 503) ++counters_.unavailable;
+  return reply;
+}
+
+HttpReply Controller::forward(Lock& lock, const HttpCall& call) {
+  FramePool* pool = nullptr;
+  for (auto& link : links_)
+    if (link.peer.label == known_leader_) pool = link.calls.get();
+  lock.unlock();
+  if (pool) {
+    const auto answer =
+        pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}),
+                  kForwardTimeout);
+    if (answer) {
+      if (auto reply = unpack_reply(*answer)) return *reply;
+      spdlog::error("malformed answer from the leader");
+    }
+  }
+  ++counters_.unavailable;
+  return error_reply(503, kUnavailable, kRetryAfter);
+}
+
+HttpReply Controller::submit(Lock& lock, std::string_view body) {
+  Submission s;
+  std::string malformed;
+  try {
+    s = parse_submission(body);
+  } catch (const Malformed& e) {
+    malformed = e.what();
+    s.uid = peek_uid(body);
+  }
+  Book& book = *term_->book;
+  const JobIdx known = s.uid.empty() ? JobIdx{} : book.find(s.uid);
+  const auto answer_known = [&](JobIdx j, unsigned code) {
+    const Job& job = term_->book->job(j);
+    return HttpReply{code, brief_body(job.uid, job.ended() ? job.status
+                                               : job.running() ? JobStatus::running : JobStatus::queued)};
+  };
+  // What has ended stays ended, whoever leads by now.
+  if (known.valid() && book.job(known).ended()) return answer_known(known, 200);
+  if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
+  if (known.valid()) return answer_known(known, 200);
+  std::uint64_t ticket = 0;
+  if (auto it = accepting_.find(s.uid); it != accepting_.end()) {
+    ticket = it->second;
+  } else {
+    if (!malformed.empty()) {
+      ++counters_.refused;
+      return error_reply(400, malformed);
+    }
+    if (!book.team_of(s.owner).valid()) {
+      ++counters_.refused;
+      return error_reply(422, "owner: unknown team");
+    }
+    if (book.flavors().empty()) return error_reply(503, "machine types not known yet", kRetryAfter);
+    if (const auto never = book.why_never(s)) {
+      ++counters_.refused;
+      return error_reply(422, *never);
+    }
+    // Kinds that no machine has can't be used; they would only make the record long.
+    std::erase_if(s.host_kinds, [&](const auto& k) { return !book.flavor(book.kind_of(k)); });
+    if (queue_.size() > kMostQueued) return error_reply(429, "overloaded", kRetryAfter);
+    if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace)
+      return error_reply(503, kUnavailable, kRetryAfter);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    const std::string uid = s.uid;
+    std::vector<Record> records;
+    records.emplace_back(AcceptRecord{std::move(s), draw, wall_now()});
+    ticket = enqueue(std::move(records));
+    accepting_.emplace(uid, ticket);
+    s.uid = uid;
+  }
+  const auto number = term_number_;
+  if (!wait_applied(lock, ticket, kCommitWait) || term_number_ != number || !decisive())
+    return error_reply(503, kUnavailable, kRetryAfter);
+  ++counters_.accepted;
+  const JobIdx j = term_->book->find(s.uid);
+  return j.valid() ? answer_known(j, 201) : error_reply(503, kUnavailable, kRetryAfter);
+}
+
+HttpReply Controller::status(Lock&, const std::string& uid) {
+  const Book& book = *term_->book;
+  const JobIdx j = book.find(uid);
+  if (j.valid() && book.job(j).ended()) {
+    const Job& job = book.job(j);
+    return {200, status_body(uid, job.status, job.done, 0)};
+  }
+  if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
+  if (!j.valid()) return error_reply(404, "no such job");
+  const Job& job = book.job(j);
+  const auto running = job.running();
+  return {200, status_body(uid, running ? JobStatus::running : JobStatus::queued, job.done, running)};
+}
+
+HttpReply Controller::withdraw(Lock& lock, const std::string& uid) {
+  JobIdx j = term_->book->find(uid);
+  if (j.valid() && term_->book->job(j).ended()) return {200, brief_body(uid, term_->book->job(j).status)};
+  if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
+  if (!j.valid()) {
+    // Its acceptance may be on its way into the ledger.
+    if (accepting_.contains(uid)) return error_reply(503, kUnavailable, kRetryAfter);
+    return error_reply(404, "no such job");
+  }
+  if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace)
+    return error_reply(503, kUnavailable, kRetryAfter);
+  std::vector<Record> records;
+  records.emplace_back(CancelRecord{uid});
+  const auto ticket = enqueue(std::move(records));
+  if (!wait_applied(lock, ticket, kCommitWait) || !decisive()) return error_reply(503, kUnavailable, kRetryAfter);
+  const Job& job = term_->book->job(j);
+  poke_placed(job);
+  return {200, brief_body(uid, job.status)};
+}
+
+HttpReply Controller::on_report(std::string_view body, bool forwarded) {
+  Report report;
+  try {
+    report = parse_report(body);
+  } catch (const Malformed& e) {
+    spdlog::error("malformed report: {}", e.what());
+    return error_reply(400, e.what());
+  }
+  Lock lock(mutex_);
+  const double now = steady_now();
+  if (role_ != Role::follower && report.epoch > term_->epoch) {
+    // The worker has seen a later leader.
+    step_down(lock, "a worker knows of a higher epoch");
+    known_epoch_ = report.epoch;
+    known_leader_.clear();
+  }
+  if (role_ == Role::follower) {
+    if (forwarded || known_leader_.empty() || known_leader_ == settings_.label || report.epoch > known_epoch_)
+      return {421, steward_body("")};
+    auto& bounce = bounces_[report.host];
+    const bool back = now - bounce.redirected_at < kBounceWindow;
+    if (!back && now >= bounce.forward_until) {
+      bounce.redirected_at = now;
+      return {421, steward_body(known_leader_)};
+    }
+    if (back) bounce.forward_until = now + kForwardWindow;
+    bounce.redirected_at = -1e9;
+    FramePool* pool = nullptr;
+    for (auto& link : links_)
+      if (link.peer.label == known_leader_) pool = link.calls.get();
+    const std::string steward = known_leader_;
+    const auto epoch = known_epoch_;
+    lock.unlock();
+    if (pool) {
+      const auto answer = pool->ask(pack(PeerCall{"POST", "/v1/report", std::string(body)}), kReportTimeout);
+      auto reply = answer ? unpack_reply(*answer) : std::nullopt;
+      lock.lock();
+      // Not under an epoch older than one this controller has confirmed to a later leader.
+      if (reply && reply->status == 200 && known_epoch_ == epoch) return *reply;
+      if (!reply) bounces_[report.host].forward_until = 0;
+    }
+    return {421, steward_body("")};
+  }
+  // Answered also while leadership is uncertain or the ledger is being read, so that the lease does not lapse.
+  std::vector<Order> orders;
+  ++counters_.reports;
+  if (term_->book) {
+    absorb(report, true);
+    Host& host = term_->book->host(term_->book->host_named(report.host));
+    host.answered_at = std::max(host.answered_at, now);
+    const bool newest = host.tenure == report.tenure && host.serial == report.serial;
+    if (newest && decisive())
+      orders = orders_for(*term_->book, term_->book->find_host(report.host), term_->takeover_epoch);
+  } else {
+    early_answers_[report.host] = now;
+  }
+  return {200, orders_body(term_->epoch, orders)};
+}
+
+HttpReply Controller::health() {
+  Lock lock(mutex_);
+  const double now = steady_now();
+  // Able to take requests: leading, or hearing from the leader, or waiting a short while for a new one.
+  const bool able = role_ != Role::follower || now - last_beat_ < kBeatFresh || now - follower_since_ < kLeaderlessGrace;
+  if (able) return {200, "{}"};
+  return error_reply(503, "no leader is reached", kRetryAfter);
+}
+
+HttpReply Controller::metrics() {
+  Lock lock(mutex_);
+  std::string out;
+  const auto line = [&](const char* name, auto value) {
+    out += "thistlefront_" + std::string(name) + " " + std::to_string(value) + "\n";
+  };
+  line("leading", role_ == Role::leading ? 1 : 0);
+  line("epoch", known_epoch_);
+  line("accepted_total", counters_.accepted.load());
+  line("refused_total", counters_.refused.load());
+  line("unavailable_total", counters_.unavailable.load());
+  line("started_total", counters_.started.load());
+  line("finished_total", counters_.finished.load());
+  line("passes_total", counters_.passes.load());
+  line("pass_seconds_total", counters_.pass_seconds.load());
+  line("commits_total", counters_.commits.load());
+  line("commit_seconds_total", counters_.commit_seconds.load());
+  line("reports_total", counters_.reports.load());
+  line("ledger_queue", queue_.size());
+  if (term_ && term_->book) {
+    std::uint64_t waiting = 0, placed = 0;
+    for (JobIdx j : term_->book->live()) {
+      waiting += term_->book->job(j).waiting;
+      placed += term_->book->job(j).placed.size();
+    }
+    line("live_jobs", term_->book->live().size());
+    line("waiting_tasks", waiting);
+    line("placed_tasks", placed);
+  }
+  HttpReply reply{200, std::move(out)};
+  reply.type = "text/plain; version=0.0.4";
+  return reply;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/store_client.cpp
@@ -0,0 +1,86 @@
+#include "coordination/store_client.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace thistle {
+
+namespace {
+// Answers come in milliseconds, now and then in a few hundred.
+constexpr double kTimeout = 1.5;
+constexpr double kListTimeout = 5.0;
+
+template <class Parse>
+StoreStatus parsed(StoreStatus status, Parse parse) {
+  if (status != StoreStatus::ok) return status;
+  try {
+    parse();
+    return status;
+  } catch (const std::exception& e) {
+    spdlog::error("state service: malformed answer: {}", e.what());
+    // It was executed, but what came of it is not known.
+    return StoreStatus::in_doubt;
+  }
+}
+}  // namespace
+
+StoreStatus StoreClient::status_of(const HttpResult& r) {
+  if (r.delivery == Delivery::unsent) return StoreStatus::unavailable;
+  if (r.delivery == Delivery::in_doubt) return StoreStatus::in_doubt;
+  switch (r.status) {
+    case 200: return StoreStatus::ok;
+    case 404: return StoreStatus::missing;
+    case 409: return StoreStatus::conflict;
+    case 429:
+    case 503: return StoreStatus::unavailable;
+    default:
+      spdlog::error("state service: status {}: {}", r.status, r.body.substr(0, 200));
+      return StoreStatus::refused;
+  }
+}
+
+StoreStatus StoreClient::get(const std::string& key, Row& out) {
+  auto r = http_.get(store_path(key), kTimeout);
+  return parsed(status_of(r), [&] { out = parse_row(r.body); });
+}
+
+StoreStatus StoreClient::list(const std::string& prefix, const std::string& from, RowPage& out) {
+  auto r = http_.get(list_path(prefix, from), kListTimeout);
+  return parsed(status_of(r), [&] { out = parse_rows(r.body); });
+}
+
+StoreStatus StoreClient::txn(const std::string& body, std::uint64_t& rev, std::vector<std::string>& failed) {
+  auto r = http_.post(kTxnPath, body, kTimeout);
+  auto status = status_of(r);
+  failed.clear();
+  if (status == StoreStatus::conflict) {
+    try {
+      failed = parse_failed(r.body);
+    } catch (const std::exception& e) {
+      spdlog::error("state service: malformed answer: {}", e.what());
+    }
+    return status;
+  }
+  return parsed(status, [&] { rev = parse_rev(r.body); });
+}
+
+StoreStatus StoreClient::hold(unsigned life_ms, std::uint64_t& out) {
+  auto r = http_.post(kHoldsPath, hold_body(life_ms), kTimeout);
+  return parsed(status_of(r), [&] { out = parse_hold(r.body); });
+}
+
+StoreStatus StoreClient::renew(std::uint64_t hold) {
+  return status_of(http_.post(hold_path(hold, true), "", kTimeout));
+}
+
+StoreStatus StoreClient::drop(std::uint64_t hold) {
+  return status_of(http_.call("DELETE", hold_path(hold, false), "", kTimeout));
+}
+
+StoreStatus StoreClient::follow(const std::string& prefix, std::uint64_t from, unsigned block_ms) {
+  auto r = http_.get(follow_path(prefix, from, block_ms), block_ms / 1000.0 + 5.0);
+  // 410: too much has changed since; what matters is that something has.
+  if (r.is(410)) return StoreStatus::ok;
+  return status_of(r);
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/store_client.hpp
@@ -0,0 +1,41 @@
+// The state service as typed calls over one kept connection.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "transport/http.hpp"
+
+namespace thistle {
+
+enum class StoreStatus {
+  ok,
+  missing,      // 404
+  conflict,     // 409: a condition did not hold
+  unavailable,  // 503, 429, or no connection: not executed
+  in_doubt,     // no answer: may have been executed, or may be later
+  refused,      // 400 and anything unexpected: the request itself is at fault
+};
+
+class StoreClient {
+ public:
+  explicit StoreClient(const std::string& address) : http_(address) {}
+
+  StoreStatus get(const std::string& key, Row& out);
+  StoreStatus list(const std::string& prefix, const std::string& from, RowPage& out);
+  // On ok, `rev` is the revision of its changes; on conflict, `failed` names the keys.
+  StoreStatus txn(const std::string& body, std::uint64_t& rev, std::vector<std::string>& failed);
+  StoreStatus hold(unsigned life_ms, std::uint64_t& out);
+  StoreStatus renew(std::uint64_t hold);
+  StoreStatus drop(std::uint64_t hold);
+  // Blocks until something under the prefix changes after `from`, or the time is over.
+  StoreStatus follow(const std::string& prefix, std::uint64_t from, unsigned block_ms);
+  void abort() { http_.abort(); }
+
+ private:
+  StoreStatus status_of(const HttpResult& r);
+  HttpClient http_;
+};
+
+}  // namespace thistle
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,81 @@
+// Wires the parts together: settings, flags, logging, signals.
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+#include "coordination/controller.hpp"
+#include "protocol/settings.hpp"
+#include "transport/threads.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app{"thistlefront: a cluster scheduler"};
+  std::string config;
+  thistle::Tuning tuning;
+  app.set_version_flag("--version", std::string("thistlefront 0.1.0"));
+  app.add_option("--config", config, "the platform's settings file (TOML)")->required()->type_name("FILE");
+  app.add_option("--weight", tuning.weight, "weight of a second waited in the key")
+      ->envname("THISTLEFRONT_WEIGHT")->check(CLI::Range(0.0, 1e6))->capture_default_str();
+  app.add_option("--pass-period", tuning.pass_period_s, "least seconds between passes")
+      ->envname("THISTLEFRONT_PASS_PERIOD")->check(CLI::Range(0.01, 60.0))->capture_default_str();
+  app.add_option("--overrun", tuning.overrun_s, "seconds after the pass at which an overrun counts as ending")
+      ->envname("THISTLEFRONT_OVERRUN")->check(CLI::Range(0.1, 86400.0))->capture_default_str();
+  app.add_option("--hold-ms", tuning.hold_ms, "life of the leader's hold, milliseconds")
+      ->envname("THISTLEFRONT_HOLD_MS")->check(CLI::Range(500u, 600000u))->capture_default_str();
+  app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
+      ->envname("THISTLEFRONT_RENT")->capture_default_str();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e);
+  }
+
+  auto logger = spdlog::stderr_logger_mt("thistlefront");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+  spdlog::set_default_logger(logger);
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string wanted = level ? level : "info";
+  if (wanted != "error" && wanted != "info" && wanted != "debug") {
+    std::cerr << "LOG_LEVEL: not error, info or debug: " << wanted << "\n";
+    return 2;
+  }
+  spdlog::set_level(spdlog::level::from_str(wanted == "error" ? "err" : wanted));
+
+  thistle::configure_process_memory();
+  thistle::Settings settings;
+  try {
+    settings = thistle::load_settings(config);
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 2;
+  }
+  // SIGTERM and SIGINT end the service in order; the thread that waits for them is the only one that takes them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  try {
+    thistle::Controller controller(std::move(settings), tuning);
+    std::jthread service([&](std::stop_token stop) {
+      try {
+        controller.run(stop);
+      } catch (const std::exception& e) {
+        std::cerr << e.what() << "\n";
+        std::_Exit(1);
+      }
+    });
+    int received = 0;
+    sigwait(&signals, &received);
+    service.request_stop();
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/protocol/messages.cpp
@@ -0,0 +1,566 @@
+#include "protocol/messages.hpp"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace thistle {
+
+using nlohmann::json;
+
+namespace {
+
+json parse_object(std::string_view body) {
+  json j = json::parse(body.begin(), body.end(), nullptr, false);
+  if (j.is_discarded()) throw Malformed("body: not JSON");
+  if (!j.is_object()) throw Malformed("body: not an object");
+  return j;
+}
+
+[[noreturn]] void bad(const char* field, const char* why) { throw Malformed(std::string(field) + ": " + why); }
+
+const json* member(const json& j, const char* field) {
+  auto it = j.find(field);
+  return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+const json& need(const json& j, const char* field) {
+  const json* m = member(j, field);
+  if (!m) bad(field, "missing");
+  return *m;
+}
+std::string as_text(const json& m, const char* field, std::size_t most = 200) {
+  if (!m.is_string()) bad(field, "not a string");
+  const auto& s = m.get_ref<const std::string&>();
+  if (s.empty()) bad(field, "empty");
+  if (s.size() > most) bad(field, "too long");
+  return s;
+}
+std::string text(const json& j, const char* field) { return as_text(need(j, field), field); }
+double as_amount(const json& m, const char* field) {
+  if (!m.is_number()) bad(field, "not a number");
+  const double v = m.get<double>();
+  if (!std::isfinite(v)) bad(field, "not finite");
+  if (v < 0) bad(field, "negative");
+  if (v > 1e12) bad(field, "too large");
+  return v;
+}
+double amount(const json& j, const char* field) { return as_amount(need(j, field), field); }
+double amount_or(const json& j, const char* field, double otherwise) {
+  const json* m = member(j, field);
+  return m ? as_amount(*m, field) : otherwise;
+}
+std::uint64_t as_count(const json& m, const char* field) {
+  if (m.is_number_unsigned()) return m.get<std::uint64_t>();
+  if (m.is_number_float()) {
+    const double v = m.get<double>();
+    if (v >= 0 && v < 9e15 && v == std::floor(v)) return static_cast<std::uint64_t>(v);
+  }
+  bad(field, "not a count");
+}
+std::uint64_t count(const json& j, const char* field) { return as_count(need(j, field), field); }
+bool flag_or(const json& j, const char* field, bool otherwise) {
+  const json* m = member(j, field);
+  if (!m) return otherwise;
+  if (!m->is_boolean()) bad(field, "not true or false");
+  return m->get<bool>();
+}
+const json& list(const json& j, const char* field) {
+  const json& m = need(j, field);
+  if (!m.is_array()) bad(field, "not a list");
+  return m;
+}
+
+template <class Enum>
+struct Word {
+  std::string_view text;
+  Enum value;
+};
+constexpr Word<Shape> kShapes[] = {{"batch", Shape::batch}, {"group", Shape::group}, {"service", Shape::service}};
+constexpr Word<Rank> kRanks[] = {
+    {"prod", Rank::prod}, {"high", Rank::high}, {"standard", Rank::standard}, {"idle", Rank::idle}};
+constexpr Word<JobStatus> kStatuses[] = {{"queued", JobStatus::queued},
+                                         {"running", JobStatus::running},
+                                         {"done", JobStatus::done},
+                                         {"aborted", JobStatus::aborted}};
+constexpr Word<Phase> kPhases[] = {{"pulling", Phase::pulling},
+                                   {"gathering", Phase::gathering},
+                                   {"running", Phase::running},
+                                   {"saving", Phase::saving},
+                                   {"exited", Phase::exited}};
+constexpr Word<Cause> kCauses[] = {{"done", Cause::done},       {"halted", Cause::halted},
+                                   {"peers", Cause::peers},     {"alone", Cause::alone},
+                                   {"error", Cause::error},     {"no_room", Cause::no_room},
+                                   {"busy", Cause::busy},       {"unknown", Cause::unknown}};
+constexpr Word<Machine::Status> kMachineStatuses[] = {{"booting", Machine::Status::booting},
+                                                      {"running", Machine::Status::running},
+                                                      {"failed", Machine::Status::failed}};
+constexpr Word<Verb> kVerbs[] = {{"run", Verb::run}, {"kill", Verb::kill}, {"reap", Verb::reap}};
+
+template <class Enum, std::size_t N>
+Enum word(const json& m, const char* field, const Word<Enum> (&words)[N]) {
+  if (m.is_string()) {
+    const auto& s = m.get_ref<const std::string&>();
+    for (const auto& w : words)
+      if (w.text == s) return w.value;
+  }
+  bad(field, "not a known value");
+}
+template <class Enum, std::size_t N>
+std::string_view spell(Enum value, const Word<Enum> (&words)[N]) {
+  for (const auto& w : words)
+    if (w.value == value) return w.text;
+  return "";
+}
+
+PieceId parse_piece(const json& m, const char* field) {
+  if (!m.is_string()) bad(field, "not a string");
+  const auto& s = m.get_ref<const std::string&>();
+  const auto slash = s.rfind('/');
+  if (slash == std::string::npos || slash + 1 >= s.size() || s.size() - slash > 7) bad(field, "not a task");
+  std::uint32_t task = 0;
+  for (std::size_t i = slash + 1; i < s.size(); ++i) {
+    if (s[i] < '0' || s[i] > '9') bad(field, "not a task");
+    task = task * 10 + static_cast<std::uint32_t>(s[i] - '0');
+  }
+  return {s.substr(0, slash), task};
+}
+
+void append_number(std::string& out, double v) {
+  if (v == std::floor(v) && std::abs(v) < 1e15) {
+    out += std::to_string(static_cast<long long>(v));
+  } else {
+    out += json(v).dump();
+  }
+}
+
+void append_orders(std::string& out, const std::vector<Order>& orders) {
+  out += "\"orders\":[";
+  bool first = true;
+  for (const auto& o : orders) {
+    if (!first) out += ',';
+    first = false;
+    // uids come from is_uid() or from the worker's own report by way of the JSON parser: digits and letters.
+    out += "{\"verb\":\"";
+    out += spell(o.verb, kVerbs);
+    out += "\",\"piece\":";
+    out += json(o.id.uid + "/" + std::to_string(o.id.task)).dump();
+    out += ",\"try\":" + std::to_string(o.attempt);
+    if (o.verb == Verb::kill) {
+      out += ",\"windDownS\":";
+      append_number(out, o.wind_down_s);
+    }
+    out += '}';
+  }
+  out += ']';
+}
+
+json ranges_json(const Ranges& ranges) {
+  json out = json::array();
+  for (const auto& r : ranges) {
+    out.push_back(r.first);
+    out.push_back(r.last);
+  }
+  return out;
+}
+Ranges parse_ranges(const json& j) {
+  Ranges out;
+  if (!j.is_array() || j.size() % 2) bad("ranges", "not pairs");
+  for (std::size_t i = 0; i < j.size(); i += 2)
+    out.push_back({j[i].get<std::uint32_t>(), j[i + 1].get<std::uint32_t>()});
+  return out;
+}
+
+json submission_json(const Submission& s) {
+  json j = {{"uid", s.uid},
+            {"jobClass", s.job_class},
+            {"owner", s.owner},
+            {"shape", spell(s.shape, kShapes)},
+            {"rank", spell(s.rank, kRanks)},
+            {"pieces", s.pieces},
+            {"cores", s.need.cores},
+            {"accelerators", s.need.accelerators},
+            {"ramGb", s.need.ram_gb},
+            {"bundle", s.bundle},
+            {"pullGb", s.pull_gb},
+            {"expectedS", s.expected_s}};
+  if (!s.host_kinds.empty()) j["hostKinds"] = s.host_kinds;
+  if (!s.yard.empty()) j["yard"] = s.yard;
+  if (s.one_zone) j["oneZone"] = true;
+  if (s.spread) j["spread"] = true;
+  if (s.loaners) j["loaners"] = true;
+  if (s.snapshot_every_s > 0) j["snapshotEveryS"] = s.snapshot_every_s;
+  if (s.snapshot_s > 0) j["snapshotS"] = s.snapshot_s;
+  if (s.due_s) j["dueS"] = *s.due_s;
+  return j;
+}
+
+Submission submission_from(const json& j) {
+  Submission s;
+  s.uid = text(j, "uid");
+  if (!is_uid(s.uid)) bad("uid", "not in form");
+  s.job_class = text(j, "jobClass");
+  s.owner = text(j, "owner");
+  s.shape = word(need(j, "shape"), "shape", kShapes);
+  s.rank = word(need(j, "rank"), "rank", kRanks);
+  const auto pieces = count(j, "pieces");
+  if (pieces < 1 || pieces > 100000) bad("pieces", "not from 1 to 100000");
+  s.pieces = static_cast<std::uint32_t>(pieces);
+  s.need = {amount(j, "cores"), amount_or(j, "accelerators", 0), amount(j, "ramGb")};
+  s.bundle = text(j, "bundle");
+  s.pull_gb = amount(j, "pullGb");
+  if (const json* kinds = member(j, "hostKinds")) {
+    if (!kinds->is_array()) bad("hostKinds", "not a list");
+    if (kinds->empty()) bad("hostKinds", "empty");
+    for (const auto& k : *kinds) s.host_kinds.push_back(as_text(k, "hostKinds"));
+  }
+  if (const json* yard = member(j, "yard")) s.yard = as_text(*yard, "yard");
+  s.one_zone = flag_or(j, "oneZone", false);
+  s.spread = flag_or(j, "spread", false);
+  s.loaners = flag_or(j, "loaners", false);
+  s.expected_s = amount_or(j, "expectedS", 0);
+  s.snapshot_every_s = amount_or(j, "snapshotEveryS", 0);
+  s.snapshot_s = amount_or(j, "snapshotS", 0);
+  if (const json* due = member(j, "dueS")) s.due_s = as_amount(*due, "dueS");
+  return s;
+}
+
+json flavor_json(const Flavor& f) {
+  return {{"sku", f.name},
+          {"cores", f.room.cores},
+          {"accelerators", f.room.accelerators},
+          {"ramGb", f.room.ram_gb},
+          {"cacheGb", f.cache_gb},
+          {"fetchGbPerS", f.fetch_gb_per_s},
+          {"price", f.price},
+          {"marketPrice", f.market_price},
+          {"bootS", f.boot_s},
+          {"yards", f.yards}};
+}
+Flavor flavor_from(const json& j) {
+  if (!j.is_object()) bad("hostKinds", "not objects");
+  Flavor f;
+  f.name = text(j, "sku");
+  f.room = {amount(j, "cores"), amount_or(j, "accelerators", 0), amount(j, "ramGb")};
+  f.cache_gb = amount_or(j, "cacheGb", 0);
+  f.fetch_gb_per_s = amount_or(j, "fetchGbPerS", 0);
+  f.price = amount_or(j, "price", 0);
+  f.market_price = amount_or(j, "marketPrice", f.price);
+  f.boot_s = amount_or(j, "bootS", 60);
+  if (const json* yards = member(j, "yards")) {
+    if (!yards->is_array()) bad("yards", "not a list");
+    for (const auto& y : *yards) f.yards.push_back(as_text(y, "yards"));
+  }
+  return f;
+}
+
+}  // namespace
+
+// ---- users
+
+bool is_uid(std::string_view s) {
+  if (s.size() < 3 || s.size() > 32 || s.substr(0, 2) != "j-") return false;
+  for (char c : s.substr(2))
+    if (c < '0' || c > '9') return false;
+  return true;
+}
+
+Submission parse_submission(std::string_view body) { return submission_from(parse_object(body)); }
+
+std::string peek_uid(std::string_view body) {
+  const json j = json::parse(body.begin(), body.end(), nullptr, false);
+  if (!j.is_object()) return {};
+  const json* uid = member(j, "uid");
+  return uid && uid->is_string() && is_uid(uid->get_ref<const std::string&>()) ? uid->get<std::string>() : "";
+}
+
+std::string status_body(const std::string& uid, JobStatus status, std::uint32_t done, std::uint32_t running) {
+  return "{\"uid\":\"" + uid + "\",\"status\":\"" + std::string(spell(status, kStatuses)) +
+         "\",\"done\":" + std::to_string(done) + ",\"running\":" + std::to_string(running) + "}";
+}
+std::string brief_body(const std::string& uid, JobStatus status) {
+  return "{\"uid\":\"" + uid + "\",\"status\":\"" + std::string(spell(status, kStatuses)) + "\"}";
+}
+std::string error_body(std::string_view reason) {
+  return json{{"error", reason}}.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+UserRoute route_of(std::string_view method, std::string_view target) {
+  using Kind = UserRoute::Kind;
+  target = target.substr(0, target.find('?'));
+  auto with = [&](std::string_view verb, Kind kind, std::string_view uid = {}) {
+    return UserRoute{method == verb ? kind : Kind::wrong_method, std::string(uid)};
+  };
+  if (target == "/v1/report") return with("POST", Kind::report);
+  if (target == "/healthz") return with("GET", Kind::health);
+  if (target == "/metrics") return with("GET", Kind::metrics);
+  constexpr std::string_view jobs = "/v1/jobs";
+  if (target.substr(0, jobs.size()) != jobs) return {};
+  target.remove_prefix(jobs.size());
+  if (target.empty()) return with("POST", Kind::submit);
+  if (target.front() != '/') return {};
+  target.remove_prefix(1);
+  const auto slash = target.find('/');
+  const auto uid = target.substr(0, slash);
+  if (slash == std::string_view::npos) return with("GET", Kind::status, uid);
+  if (target.substr(slash) == "/withdraw") return with("POST", Kind::withdraw, uid);
+  return {};
+}
+
+// ---- workers
+
+Report parse_report(std::string_view body) {
+  const json j = parse_object(body);
+  Report r;
+  r.host = text(j, "host");
+  r.address = text(j, "address");
+  r.kind = text(j, "hostKind");
+  r.yard = text(j, "yard");
+  r.loaner = flag_or(j, "loaners", false);
+  r.tenure = count(j, "tenure");
+  r.serial = count(j, "serial");
+  r.epoch = count(j, "epoch");
+  if (const json* recall = member(j, "recallS")) {
+    if (!recall->is_number()) bad("recallS", "not a number");
+    r.recall_s = std::max(0.0, recall->get<double>());
+  }
+  for (const auto& p : list(j, "pieces")) {
+    if (!p.is_object()) bad("pieces", "not objects");
+    ReportedPiece piece;
+    piece.id = parse_piece(need(p, "piece"), "piece");
+    piece.attempt = count(p, "try");
+    piece.phase = word(need(p, "status"), "status", kPhases);
+    if (const json* cause = member(p, "cause")) {
+      // A cause this version does not know is taken as a failure of the task, never as done.
+      piece.cause = Cause::error;
+      if (cause->is_string())
+        for (const auto& w : kCauses)
+          if (w.text == cause->get_ref<const std::string&>()) piece.cause = w.value;
+    }
+    piece.kept = flag_or(p, "kept", false);
+    r.pieces.push_back(std::move(piece));
+  }
+  return r;
+}
+
+std::string orders_body(std::uint64_t epoch, const std::vector<Order>& orders) {
+  std::string out = "{\"epoch\":" + std::to_string(epoch) + ",";
+  append_orders(out, orders);
+  return out + "}";
+}
+std::string commands_body(std::uint64_t epoch, std::uint64_t tenure, const std::vector<Order>& orders) {
+  std::string out = "{\"epoch\":" + std::to_string(epoch) + ",\"tenure\":" + std::to_string(tenure) + ",";
+  append_orders(out, orders);
+  return out + "}";
+}
+std::string steward_body(std::string_view steward) {
+  if (steward.empty()) return "{}";
+  return json{{"steward", steward}}.dump();
+}
+
+// ---- cloud
+
+std::string machines_path(const std::string& from, unsigned page) {
+  std::string out = std::string(kRentPath) + "?page=" + std::to_string(page);
+  if (!from.empty()) out += "&from=" + from;
+  return out;
+}
+std::vector<Flavor> parse_flavors(std::string_view body) {
+  const json j = parse_object(body);
+  std::vector<Flavor> out;
+  for (const auto& f : list(j, "hostKinds")) out.push_back(flavor_from(f));
+  return out;
+}
+MachinePage parse_machines(std::string_view body) {
+  const json j = parse_object(body);
+  MachinePage page;
+  page.truncated = flag_or(j, "truncated", false);
+  for (const auto& m : list(j, "hosts")) {
+    if (!m.is_object()) bad("hosts", "not objects");
+    Machine machine;
+    machine.name = text(m, "uid");
+    if (const json* address = member(m, "address"); address && address->is_string())
+      machine.address = address->get<std::string>();
+    machine.kind = text(m, "hostKind");
+    machine.yard = text(m, "yard");
+    machine.loaner = flag_or(m, "loaners", false);
+    machine.status = word(need(m, "status"), "status", kMachineStatuses);
+    machine.held_s = amount_or(m, "heldS", 0);
+    page.machines.push_back(std::move(machine));
+  }
+  return page;
+}
+std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner,
+                      unsigned count) {
+  return json{{"rental", rental}, {"hostKind", kind}, {"yard", yard}, {"loaners", loaner}, {"count", count}}.dump();
+}
+std::vector<std::string> parse_rented(std::string_view body) {
+  const json j = parse_object(body);
+  std::vector<std::string> out;
+  for (const auto& h : list(j, "hosts")) out.push_back(as_text(h, "hosts"));
+  return out;
+}
+std::string release_body(const std::vector<std::string>& names) { return json{{"hosts", names}}.dump(); }
+
+// ---- state service
+
+std::string store_path(const std::string& key) { return "/store/" + key; }
+std::string list_path(const std::string& prefix, const std::string& from) {
+  std::string out = "/store?prefix=" + prefix + "&page=1000";
+  if (!from.empty()) out += "&from=" + from;
+  return out;
+}
+std::string follow_path(const std::string& prefix, std::uint64_t from, unsigned block_ms) {
+  return "/follow?prefix=" + prefix + "&from=" + std::to_string(from) + "&blockMs=" + std::to_string(block_ms);
+}
+std::string hold_path(std::uint64_t hold, bool renew) {
+  return std::string(kHoldsPath) + "/" + std::to_string(hold) + (renew ? "/renew" : "");
+}
+std::string hold_body(unsigned life_ms) { return "{\"lifeMs\":" + std::to_string(life_ms) + "}"; }
+std::uint64_t parse_hold(std::string_view body) { return count(parse_object(body), "hold"); }
+std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts,
+                     const std::vector<std::string>& removes) {
+  std::string out = "{\"if\":[";
+  const char* sep = "";
+  for (const auto& c : conditions) {
+    out += sep;
+    out += "{\"path\":\"" + c.key + "\",\"stamp\":" + std::to_string(c.stamp) + "}";
+    sep = ",";
+  }
+  out += "],\"apply\":[";
+  sep = "";
+  for (const auto& p : puts) {
+    out += sep;
+    out += "{\"set\":\"" + p.key + "\",\"value\":" + p.value;
+    if (p.hold) out += ",\"hold\":" + std::to_string(p.hold);
+    out += "}";
+    sep = ",";
+  }
+  for (const auto& r : removes) {
+    out += sep;
+    out += "{\"remove\":\"" + r + "\"}";
+    sep = ",";
+  }
+  return out + "]}";
+}
+std::uint64_t parse_rev(std::string_view body) { return count(parse_object(body), "ledgerRev"); }
+std::vector<std::string> parse_failed(std::string_view body) {
+  const json j = parse_object(body);
+  std::vector<std::string> out;
+  for (const auto& f : list(j, "failed")) out.push_back(as_text(f, "failed"));
+  return out;
+}
+
+namespace {
+Row row_from(const json& j) {
+  Row row;
+  row.key = text(j, "path");
+  row.value = need(j, "value").dump();
+  row.stamp = count(j, "stamp");
+  return row;
+}
+}  // namespace
+
+Row parse_row(std::string_view body) { return row_from(parse_object(body)); }
+RowPage parse_rows(std::string_view body) {
+  const json j = parse_object(body);
+  RowPage page;
+  page.truncated = flag_or(j, "truncated", false);
+  page.rev = count(j, "ledgerRev");
+  for (const auto& r : list(j, "rows")) page.rows.push_back(row_from(r));
+  return page;
+}
+std::string leader_value(const LeaderValue& leader) {
+  return json{{"label", leader.label}, {"incarnation", leader.incarnation}}.dump();
+}
+LeaderValue parse_leader(std::string_view value) {
+  const json j = parse_object(value);
+  return {text(j, "label"), count(j, "incarnation")};
+}
+
+// ---- ledger
+
+std::string encode_record(const Record& record) {
+  struct Encode {
+    static json accept(const AcceptRecord& r) { return {submission_json(r.job), r.draw, r.at}; }
+    json operator()(const AcceptRecord& r) const { return {"accept", accept(r)}; }
+    json operator()(const StartRecord& r) const {
+      json parts = json::array();
+      for (const auto& p : r.parts) parts.push_back({p.host, p.tenure, ranges_json(p.tasks)});
+      return {"start", r.uid, r.attempt, r.at, std::move(parts)};
+    }
+    json operator()(const DoneRecord& r) const { return {"done", r.uid, ranges_json(r.tasks)}; }
+    json operator()(const OffRecord& r) const { return {"off", r.uid, r.attempt, ranges_json(r.tasks)}; }
+    json operator()(const CancelRecord& r) const { return {"cancel", r.uid}; }
+    json operator()(const FlavorsRecord& r) const {
+      json flavors = json::array();
+      for (const auto& f : r.flavors) flavors.push_back(flavor_json(f));
+      return {"flavors", std::move(flavors)};
+    }
+    json operator()(const JobRecord& r) const {
+      json placed = json::array();
+      for (const auto& p : r.placed) placed.push_back({p.host, p.tenure, p.attempt, p.at, ranges_json(p.tasks)});
+      return {"job", accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done),
+              std::move(placed)};
+    }
+    json operator()(const EndedRecord& r) const { return {"ended", spell(r.status, kStatuses), r.uids}; }
+  };
+  return std::visit(Encode{}, record).dump();
+}
+
+std::string entry_value(std::uint64_t seq, std::string_view records) {
+  std::string out = "{\"seq\":" + std::to_string(seq) + ",\"records\":[";
+  out.append(records);
+  return out + "]}";
+}
+
+namespace {
+AcceptRecord accept_from(const json& j) {
+  return {submission_from(j.at(0)), j.at(1).get<double>(), j.at(2).get<double>()};
+}
+Record record_from(const json& j) {
+  const auto& kind = j.at(0).get_ref<const std::string&>();
+  if (kind == "accept") return accept_from(j.at(1));
+  if (kind == "start") {
+    StartRecord r{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), j.at(3).get<double>(), {}};
+    for (const auto& p : j.at(4))
+      r.parts.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(), parse_ranges(p.at(2))});
+    return r;
+  }
+  if (kind == "done") return DoneRecord{j.at(1).get<std::string>(), parse_ranges(j.at(2))};
+  if (kind == "off")
+    return OffRecord{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), parse_ranges(j.at(3))};
+  if (kind == "cancel") return CancelRecord{j.at(1).get<std::string>()};
+  if (kind == "flavors") {
+    FlavorsRecord r;
+    for (const auto& f : j.at(1)) r.flavors.push_back(flavor_from(f));
+    return r;
+  }
+  if (kind == "job") {
+    JobRecord r;
+    r.accept = accept_from(j.at(1));
+    r.status = word(j.at(2), "status", kStatuses);
+    r.attempts = j.at(3).get<std::uint64_t>();
+    r.done = parse_ranges(j.at(4));
+    for (const auto& p : j.at(5))
+      r.placed.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(),
+                          p.at(2).get<std::uint64_t>(), p.at(3).get<double>(), parse_ranges(p.at(4))});
+    return r;
+  }
+  if (kind == "ended")
+    return EndedRecord{word(j.at(1), "status", kStatuses), j.at(2).get<std::vector<std::string>>()};
+  throw Malformed("ledger record: unknown kind " + kind);
+}
+}  // namespace
+
+LedgerEntry parse_entry(std::string_view value) {
+  try {
+    const json j = parse_object(value);
+    LedgerEntry entry;
+    entry.seq = count(j, "seq");
+    for (const auto& r : list(j, "records")) entry.records.push_back(record_from(r));
+    return entry;
+  } catch (const json::exception& e) {
+    throw Malformed(std::string("ledger entry: ") + e.what());
+  }
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/messages.hpp
@@ -0,0 +1,107 @@
+// JSON messages to typed values and back. Wire names appear in this layer alone.
+#pragma once
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+// A message that can't be taken; what() is one line that names the field.
+struct Malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Users
+bool is_uid(std::string_view s);
+Submission parse_submission(std::string_view body);
+// The uid of a body that is otherwise malformed; empty if it has none in form.
+std::string peek_uid(std::string_view body);
+std::string status_body(const std::string& uid, JobStatus status, std::uint32_t done, std::uint32_t running);
+std::string brief_body(const std::string& uid, JobStatus status);
+std::string error_body(std::string_view reason);
+struct UserRoute {
+  enum class Kind { submit, status, withdraw, health, metrics, report, unknown, wrong_method } kind = Kind::unknown;
+  std::string uid;
+};
+UserRoute route_of(std::string_view method, std::string_view target);
+
+// Workers
+Report parse_report(std::string_view body);
+std::string orders_body(std::uint64_t epoch, const std::vector<Order>& orders);
+std::string commands_body(std::uint64_t epoch, std::uint64_t tenure, const std::vector<Order>& orders);
+std::string steward_body(std::string_view steward);
+inline constexpr const char* kCommandsPath = "/commands";
+inline constexpr const char* kWorkerStatusPath = "/status";
+
+// Cloud
+inline constexpr const char* kFlavorsPath = "/flavors";
+inline constexpr const char* kRentPath = "/rentals";
+inline constexpr const char* kReleasePath = "/rentals/release";
+std::string machines_path(const std::string& from, unsigned page);
+std::vector<Flavor> parse_flavors(std::string_view body);
+struct MachinePage {
+  std::vector<Machine> machines;
+  bool truncated = false;
+};
+MachinePage parse_machines(std::string_view body);
+std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner,
+                      unsigned count);
+std::vector<std::string> parse_rented(std::string_view body);
+std::string release_body(const std::vector<std::string>& names);
+
+// State service
+struct LeaderValue {
+  std::string label;
+  std::uint64_t incarnation = 0;
+};
+inline constexpr const char* kLeaderKey = "leader";
+std::string store_path(const std::string& key);
+std::string list_path(const std::string& prefix, const std::string& from);
+std::string follow_path(const std::string& prefix, std::uint64_t from, unsigned block_ms);
+inline constexpr const char* kTxnPath = "/txn";
+inline constexpr const char* kHoldsPath = "/holds";
+std::string hold_path(std::uint64_t hold, bool renew);
+std::string hold_body(unsigned life_ms);
+std::uint64_t parse_hold(std::string_view body);
+struct Condition {
+  std::string key;
+  std::uint64_t stamp = 0;
+};
+struct Put {
+  std::string key;
+  std::string value;  // JSON text
+  std::uint64_t hold = 0;
+};
+std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts,
+                     const std::vector<std::string>& removes);
+std::uint64_t parse_rev(std::string_view body);
+std::vector<std::string> parse_failed(std::string_view body);
+struct Row {
+  std::string key;
+  std::string value;  // JSON text
+  std::uint64_t stamp = 0;
+};
+Row parse_row(std::string_view body);
+struct RowPage {
+  std::vector<Row> rows;
+  bool truncated = false;
+  std::uint64_t rev = 0;
+};
+RowPage parse_rows(std::string_view body);
+std::string leader_value(const LeaderValue& leader);
+LeaderValue parse_leader(std::string_view value);
+
+// Ledger entries: {"seq":N,"by":E,"records":[...]}
+struct LedgerEntry {
+  std::uint64_t seq = 0;      // the commit that wrote this version of the entry
+  std::vector<Record> records;
+};
+std::string encode_record(const Record& record);
+// `records` are encoded records joined by commas.
+std::string entry_value(std::uint64_t seq, std::string_view records);
+LedgerEntry parse_entry(std::string_view value);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/peer_messages.cpp
@@ -0,0 +1,68 @@
+#include "protocol/peer_messages.hpp"
+
+namespace thistle {
+
+namespace {
+Frame frame_of(PeerKind kind, Packer& packer) { return {static_cast<std::uint8_t>(kind), packer.take()}; }
+bool is(const Frame& frame, PeerKind kind) { return frame.kind == static_cast<std::uint8_t>(kind); }
+}  // namespace
+
+Frame pack(const Beat& beat) {
+  Packer p;
+  p.integer(beat.epoch).text(beat.label);
+  return frame_of(PeerKind::beat, p);
+}
+Frame pack(const BeatAck& ack) {
+  Packer p;
+  p.integer(ack.epoch).text(ack.leader);
+  return frame_of(PeerKind::beat_ack, p);
+}
+Frame pack(const PeerCall& call) {
+  Packer p;
+  p.text(call.method).text(call.target).text(call.body);
+  return frame_of(PeerKind::call, p);
+}
+Frame pack(const HttpReply& reply) {
+  Packer p;
+  p.integer(static_cast<std::uint16_t>(reply.status))
+      .integer(static_cast<std::uint16_t>(reply.retry_after_s))
+      .text(reply.body);
+  return frame_of(PeerKind::reply, p);
+}
+
+std::optional<Beat> unpack_beat(const Frame& frame) {
+  Unpacker u(frame.payload);
+  Beat beat;
+  beat.epoch = u.integer<std::uint64_t>();
+  beat.label = u.text();
+  if (!is(frame, PeerKind::beat) || !u.done()) return std::nullopt;
+  return beat;
+}
+std::optional<BeatAck> unpack_ack(const Frame& frame) {
+  Unpacker u(frame.payload);
+  BeatAck ack;
+  ack.epoch = u.integer<std::uint64_t>();
+  ack.leader = u.text();
+  if (!is(frame, PeerKind::beat_ack) || !u.done()) return std::nullopt;
+  return ack;
+}
+std::optional<PeerCall> unpack_call(const Frame& frame) {
+  Unpacker u(frame.payload);
+  PeerCall call;
+  call.method = u.text();
+  call.target = u.text();
+  call.body = u.text();
+  if (!is(frame, PeerKind::call) || !u.done()) return std::nullopt;
+  return call;
+}
+std::optional<HttpReply> unpack_reply(const Frame& frame) {
+  Unpacker u(frame.payload);
+  HttpReply reply;
+  reply.status = u.integer<std::uint16_t>();
+  reply.retry_after_s = u.integer<std::uint16_t>();
+  reply.body = u.text();
+  if (!is(frame, PeerKind::reply) || !u.done()) return std::nullopt;
+  return reply;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/peer_messages.hpp
@@ -0,0 +1,40 @@
+// What controllers say to each other, as packed structs in frames.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "transport/frames.hpp"
+#include "transport/http.hpp"
+
+namespace thistle {
+
+enum class PeerKind : std::uint8_t {
+  beat = 1,    // leader -> peer: who leads, at which epoch
+  beat_ack,    // peer -> leader: the highest epoch it knows; it answers no worker under a lower one
+  call,        // a user's request or a worker's report, forwarded to the leader
+  reply,
+};
+
+struct Beat {
+  std::string label;
+  std::uint64_t epoch = 0;
+};
+struct BeatAck {
+  std::uint64_t epoch = 0;
+  std::string leader;
+};
+struct PeerCall {
+  std::string method, target, body;
+};
+
+Frame pack(const Beat& beat);
+Frame pack(const BeatAck& ack);
+Frame pack(const PeerCall& call);
+Frame pack(const HttpReply& reply);
+std::optional<Beat> unpack_beat(const Frame& frame);
+std::optional<BeatAck> unpack_ack(const Frame& frame);
+std::optional<PeerCall> unpack_call(const Frame& frame);
+std::optional<HttpReply> unpack_reply(const Frame& frame);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/settings.hpp
@@ -0,0 +1,39 @@
+// The platform's settings file.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+struct Settings {
+  struct Peer {
+    std::string label, site, address;
+  };
+  struct Team {
+    std::string name;
+    Resources guarantee, limit;  // 0: none; memory is not limited
+  };
+  struct Objective {
+    std::string kind, job_class;
+    double within_s = 0, share = 0;
+  };
+  std::string label, site, client_listen, peer_listen;
+  std::vector<Peer> peers;
+  std::string cloud, state;
+  double skew_ms = 0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  std::uint64_t txn_ops = 0;
+  double cloud_rps = 0, list_lag_s = 0;
+  double cpu = 0, memory_mb = 0;
+  std::uint64_t max_sockets = 0;
+};
+
+// Throws std::runtime_error with one line that names file, field and reason.
+Settings load_settings(const std::string& path);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/types.hpp
@@ -0,0 +1,216 @@
+// Typed values shared by all layers above transport.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace thistle {
+
+// A dense index; the tag keeps jobs, hosts and the rest apart.
+template <class Tag>
+struct Index {
+  std::uint32_t v = UINT32_MAX;
+  [[nodiscard]] bool valid() const { return v != UINT32_MAX; }
+  friend bool operator==(Index, Index) = default;
+  friend auto operator<=>(Index, Index) = default;
+};
+using JobIdx = Index<struct JobTag>;
+using HostIdx = Index<struct HostTag>;
+using TeamIdx = Index<struct TeamTag>;
+using KindIdx = Index<struct KindTag>;
+using ZoneIdx = Index<struct ZoneTag>;
+using ImageIdx = Index<struct ImageTag>;
+using ClassIdx = Index<struct ClassTag>;
+
+// Maps names to dense indices at the door.
+template <class Idx>
+class Interner {
+ public:
+  Idx intern(std::string_view name) {
+    auto it = index_.find(std::string(name));
+    if (it != index_.end()) return it->second;
+    Idx idx{static_cast<std::uint32_t>(names_.size())};
+    names_.emplace_back(name);
+    index_.emplace(names_.back(), idx);
+    return idx;
+  }
+  [[nodiscard]] Idx find(std::string_view name) const {
+    auto it = index_.find(std::string(name));
+    return it == index_.end() ? Idx{} : it->second;
+  }
+  [[nodiscard]] const std::string& name(Idx idx) const { return names_[idx.v]; }
+  [[nodiscard]] std::size_t size() const { return names_.size(); }
+
+ private:
+  std::vector<std::string> names_;
+  std::unordered_map<std::string, Idx> index_;
+};
+
+struct Resources {
+  double cores = 0, accelerators = 0, ram_gb = 0;
+  Resources& operator+=(const Resources& o) {
+    cores += o.cores, accelerators += o.accelerators, ram_gb += o.ram_gb;
+    return *this;
+  }
+  Resources& operator-=(const Resources& o) {
+    cores -= o.cores, accelerators -= o.accelerators, ram_gb -= o.ram_gb;
+    return *this;
+  }
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend Resources operator*(const Resources& a, double k) {
+    return {a.cores * k, a.accelerators * k, a.ram_gb * k};
+  }
+  // Whether this much can be taken out of `room`; sums of decimals are given a little slack.
+  [[nodiscard]] bool fits(const Resources& room) const {
+    constexpr double slack = 1e-6;
+    return cores <= room.cores + slack && accelerators <= room.accelerators + slack &&
+           ram_gb <= room.ram_gb + slack;
+  }
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+enum class Shape : std::uint8_t { batch, group, service };
+enum class Rank : std::uint8_t { idle, standard, high, prod };
+enum class JobStatus : std::uint8_t { queued, running, done, aborted };
+enum class Phase : std::uint8_t { pulling, gathering, running, saving, exited };
+enum class Cause : std::uint8_t { none, done, halted, peers, alone, error, no_room, busy, unknown, lost };
+
+// A submission as its user sent it, checked but not yet interned.
+struct Submission {
+  std::string uid, job_class, owner;
+  Shape shape = Shape::batch;
+  Rank rank = Rank::standard;
+  std::uint32_t pieces = 1;
+  Resources need;
+  std::string bundle;
+  double pull_gb = 0;
+  std::vector<std::string> host_kinds;  // empty: any
+  std::string yard;                     // empty: any
+  bool one_zone = false, spread = false, loaners = false;
+  double expected_s = 0, snapshot_every_s = 0, snapshot_s = 0;
+  std::optional<double> due_s;
+};
+
+struct Flavor {
+  std::string name;
+  Resources room;
+  double cache_gb = 0, fetch_gb_per_s = 0, price = 0, market_price = 0, boot_s = 0;
+  std::vector<std::string> yards;
+};
+
+struct Machine {
+  std::string name, address, kind, yard;
+  bool loaner = false;
+  enum class Status : std::uint8_t { booting, running, failed } status = Status::booting;
+  double held_s = 0;
+};
+
+struct PieceId {
+  std::string uid;
+  std::uint32_t task = 0;
+};
+
+struct ReportedPiece {
+  PieceId id;
+  std::uint64_t attempt = 0;
+  Phase phase = Phase::pulling;
+  Cause cause = Cause::none;
+  bool kept = false;
+};
+
+struct Report {
+  std::string host, address, kind, yard;
+  bool loaner = false;
+  std::uint64_t tenure = 0, serial = 0, epoch = 0;
+  std::optional<double> recall_s;
+  std::vector<ReportedPiece> pieces;
+};
+
+enum class Verb : std::uint8_t { run, kill, reap };
+struct Order {
+  Verb verb = Verb::run;
+  PieceId id;
+  std::uint64_t attempt = 0;
+  double wind_down_s = 0;
+};
+
+// Half-open range of task numbers.
+struct Range {
+  std::uint32_t first = 0, last = 0;
+  friend bool operator==(const Range&, const Range&) = default;
+};
+using Ranges = std::vector<Range>;
+inline void add_to(Ranges& ranges, std::uint32_t task) {
+  if (!ranges.empty() && ranges.back().last == task) {
+    ++ranges.back().last;
+  } else {
+    ranges.push_back({task, task + 1});
+  }
+}
+
+// What the ledger holds, in order. Replayed from the beginning they give the same book again.
+struct AcceptRecord {
+  Submission job;
+  double draw = 0;      // the key's random number, drawn once at intake
+  double at = 0;        // wall seconds
+};
+struct StartRecord {
+  struct Part {
+    std::string host;
+    std::uint64_t tenure = 0;
+    Ranges tasks;
+  };
+  std::string uid;
+  std::uint64_t attempt = 0;
+  double at = 0;
+  std::vector<Part> parts;
+};
+struct DoneRecord {
+  std::string uid;
+  Ranges tasks;
+};
+struct OffRecord {  // no longer on a host, and not done
+  std::string uid;
+  std::uint64_t attempt = 0;
+  Ranges tasks;
+};
+struct CancelRecord {
+  std::string uid;
+};
+struct FlavorsRecord {
+  std::vector<Flavor> flavors;
+};
+// Snapshot of a job, so that the entries it came from can go.
+struct JobRecord {
+  struct Placed {
+    std::string host;
+    std::uint64_t tenure = 0, attempt = 0;
+    double at = 0;
+    Ranges tasks;
+  };
+  AcceptRecord accept;
+  JobStatus status = JobStatus::queued;
+  std::uint64_t attempts = 0;
+  Ranges done;
+  std::vector<Placed> placed;
+};
+// Ended jobs need only their name and how they ended.
+struct EndedRecord {
+  JobStatus status = JobStatus::done;
+  std::vector<std::string> uids;
+};
+using Record = std::variant<AcceptRecord, StartRecord, DoneRecord, OffRecord, CancelRecord, FlavorsRecord,
+                            JobRecord, EndedRecord>;
+
+}  // namespace thistle
+
+template <class Tag>
+struct std::hash<thistle::Index<Tag>> {
+  std::size_t operator()(thistle::Index<Tag> i) const noexcept { return i.v; }
+};
--- /dev/null
+++ b/src/transport/acceptor.cpp
@@ -0,0 +1,89 @@
+#include "transport/acceptor.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <system_error>
+
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+
+void Acceptor::Connection::touch() { active_.store(steady_now(), std::memory_order_relaxed); }
+
+Acceptor::Acceptor(const std::string& address, std::size_t most, Routine routine)
+    : listener_(listen_on(address)), most_(std::max<std::size_t>(most, 1)), routine_(std::move(routine)) {
+  thread_ = std::jthread([this](std::stop_token stop) { accept_loop(stop); });
+}
+
+Acceptor::~Acceptor() { stop(); }
+
+void Acceptor::stop() {
+  if (!thread_.joinable()) return;
+  thread_.request_stop();
+  listener_.shutdown();
+  thread_.join();
+  std::list<std::unique_ptr<Connection>> rest;
+  {
+    std::lock_guard lock(mutex_);
+    rest.swap(connections_);
+  }
+  for (auto& c : rest) {
+    c->thread_.request_stop();
+    c->stream.socket().shutdown();
+  }
+  rest.clear();  // joins
+}
+
+void Acceptor::sweep() {
+  std::list<std::unique_ptr<Connection>> ended;
+  std::lock_guard lock(mutex_);
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    auto next = std::next(it);
+    if ((*it)->finished_.load()) ended.splice(ended.end(), connections_, it);
+    it = next;
+  }
+}
+
+void Acceptor::accept_loop(std::stop_token stop) {
+  while (!stop.stop_requested()) {
+    Socket s = accept_from(listener_);
+    if (stop.stop_requested()) return;
+    sweep();
+    if (!s.open()) {
+      if (!pause_for(stop, 0.02)) return;
+      continue;
+    }
+    std::lock_guard lock(mutex_);
+    if (connections_.size() >= most_) {
+      // Room for the newcomer comes from the connection that has said nothing for the longest time.
+      auto oldest = std::min_element(connections_.begin(), connections_.end(), [](auto& a, auto& b) {
+        return a->active_.load(std::memory_order_relaxed) < b->active_.load(std::memory_order_relaxed);
+      });
+      if (oldest != connections_.end()) (*oldest)->stream.socket().shutdown();
+      if (connections_.size() >= most_ + 16) continue;
+    }
+    auto connection = std::make_unique<Connection>(std::move(s));
+    connection->touch();
+    Connection* raw = connection.get();
+    try {
+      connection->thread_ = std::jthread([this, raw](std::stop_token st) {
+        try {
+          routine_(*raw, st);
+        } catch (const std::exception& e) {
+          spdlog::error("connection routine: {}", e.what());
+        }
+        // The descriptor is closed when the owner sweeps; until then the peer must not wait for us.
+        raw->stream.socket().shutdown();
+        raw->finished_.store(true);
+      });
+    } catch (const std::system_error& e) {
+      spdlog::error("no thread for a connection: {}", e.what());
+      continue;
+    }
+    connections_.push_back(std::move(connection));
+  }
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/transport/acceptor.hpp
@@ -0,0 +1,51 @@
+// Accepts connections and gives each its own thread. At the bound, the connection longest idle is closed.
+#pragma once
+#include <atomic>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "transport/socket.hpp"
+
+namespace thistle {
+
+class Acceptor {
+ public:
+  // A connection as its routine sees it; touch() marks activity.
+  class Connection {
+   public:
+    explicit Connection(Socket socket) : stream(std::move(socket)) {}
+    void touch();
+    Stream stream;
+
+   private:
+    friend class Acceptor;
+    std::atomic<double> active_{0};
+    std::atomic<bool> finished_{false};
+    std::jthread thread_;
+  };
+  using Routine = std::function<void(Connection&, std::stop_token)>;
+
+  Acceptor(const std::string& address, std::size_t most, Routine routine);
+  ~Acceptor();
+  Acceptor(const Acceptor&) = delete;
+  Acceptor& operator=(const Acceptor&) = delete;
+
+  void stop();
+
+ private:
+  void accept_loop(std::stop_token stop);
+  void sweep();
+
+  Socket listener_;
+  std::size_t most_;
+  Routine routine_;
+  std::mutex mutex_;
+  std::list<std::unique_ptr<Connection>> connections_;
+  std::jthread thread_;
+};
+
+}  // namespace thistle
--- /dev/null
+++ b/src/transport/http.cpp
@@ -0,0 +1,119 @@
+#include "transport/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "transport/clock.hpp"
+
+namespace thistle {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxHeader = 8 * 1024;
+constexpr std::size_t kMaxAnswer = 64 * 1024 * 1024;  // watches and ledger pages have no small bound
+constexpr std::size_t kReadBuffer = 2048;
+}  // namespace
+
+HttpServer::HttpServer(const std::string& address, std::size_t most_connections, Handler handler)
+    : handler_(std::move(handler)),
+      acceptor_(address, most_connections,
+                [this](Acceptor::Connection& c, std::stop_token stop) { serve(c, stop); }) {}
+
+void HttpServer::serve(Acceptor::Connection& connection, std::stop_token stop) const {
+  beast::flat_buffer buffer;
+  buffer.reserve(kReadBuffer);
+  while (!stop.stop_requested()) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBody);
+    parser.header_limit(kMaxHeader);
+    ErrorCode ec;
+    http::read(connection.stream, buffer, parser, ec);
+    connection.touch();
+    HttpReply reply;
+    bool keep = false;
+    if (ec == http::error::body_limit) {
+      reply = {413, R"({"error":"body: larger than 64 KiB"})", 0, true};
+    } else if (ec && ec.category() == make_error_code(http::error::bad_method).category() &&
+               ec != http::error::end_of_stream && ec != http::error::partial_message) {
+      reply = {400, R"({"error":"malformed HTTP request"})", 0, true};
+    } else if (ec) {
+      return;
+    } else {
+      const auto& request = parser.get();
+      keep = request.keep_alive();
+      const auto method = request.method_string();
+      const auto target = request.target();
+      reply = handler_({{method.data(), method.size()}, {target.data(), target.size()}, request.body()});
+    }
+    http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
+    response.set(http::field::content_type, beast::string_view(reply.type.data(), reply.type.size()));
+    if (reply.retry_after_s > 0) response.set(http::field::retry_after, std::to_string(reply.retry_after_s));
+    response.body() = std::move(reply.body);
+    response.keep_alive(keep && !reply.close);
+    response.prepare_payload();
+    http::write(connection.stream, response, ec);
+    if (ec || !response.keep_alive()) return;
+    if (buffer.capacity() > 4 * kReadBuffer && buffer.size() == 0) {
+      buffer.shrink_to_fit();
+      buffer.reserve(kReadBuffer);
+    }
+  }
+}
+
+bool HttpClient::connect(double timeout_s) {
+  Socket s = connect_to(address_, timeout_s);
+  std::lock_guard lock(mutex_);
+  if (!s.open() || aborted_) return false;
+  stream_ = std::make_unique<Stream>(std::move(s));
+  return true;
+}
+
+void HttpClient::disconnect() {
+  std::lock_guard lock(mutex_);
+  stream_.reset();
+}
+
+void HttpClient::abort() {
+  std::lock_guard lock(mutex_);
+  aborted_ = true;
+  if (stream_) stream_->socket().shutdown();
+}
+
+HttpResult HttpClient::call(std::string_view method, const std::string& target, const std::string& body,
+                            double timeout_s) {
+  const double deadline = steady_now() + timeout_s;
+  http::request<http::string_body> request(
+      http::string_to_verb(beast::string_view(method.data(), method.size())), target, 11);
+  request.set(http::field::host, address_);
+  if (!body.empty()) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = body;
+  }
+  request.prepare_payload();
+  for (int round = 0; round < 2; ++round) {
+    const bool reused = stream_ != nullptr;
+    if (!reused && !connect(deadline - steady_now())) return {};
+    stream_->deadline(deadline);
+    ErrorCode ec;
+    http::write(*stream_, request, ec);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxAnswer);
+    if (!ec) http::read(*stream_, buffer, parser, ec);
+    if (!ec) {
+      HttpResult result{Delivery::answered, parser.get().result_int(), std::move(parser.get().body())};
+      if (!parser.get().keep_alive()) disconnect();
+      return result;
+    }
+    disconnect();
+    // A kept connection that the other side had closed meanwhile: a request that only reads is sent anew.
+    if (reused && method == "GET" && ec != boost::asio::error::timed_out) continue;
+    return {Delivery::in_doubt, 0, {}};
+  }
+  return {Delivery::in_doubt, 0, {}};
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/transport/socket.cpp
@@ -0,0 +1,194 @@
+#include "transport/socket.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+#include <stdexcept>
+
+#include "transport/clock.hpp"
+
+namespace thistle {
+
+namespace {
+
+ErrorCode last_error() { return ErrorCode(errno, boost::system::system_category()); }
+
+void no_delay(int fd) {
+  int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+bool fill(const std::string& address, sockaddr_in& out) {
+  auto parts = split_address(address);
+  if (!parts) return false;
+  std::memset(&out, 0, sizeof out);
+  out.sin_family = AF_INET;
+  out.sin_port = htons(parts->second);
+  return ::inet_pton(AF_INET, parts->first.c_str(), &out.sin_addr) == 1;
+}
+
+int left_ms(double deadline) {
+  double left = deadline - steady_now();
+  return left <= 0 ? 0 : static_cast<int>(std::ceil(left * 1000.0));
+}
+
+}  // namespace
+
+Socket& Socket::operator=(Socket&& other) noexcept {
+  if (this != &other) {
+    close();
+    fd_ = other.release();
+  }
+  return *this;
+}
+
+void Socket::close() {
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+
+std::optional<std::pair<std::string, std::uint16_t>> split_address(const std::string& address) {
+  auto colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  auto [p, ec] = std::from_chars(address.data() + colon + 1, end, port);
+  if (ec != std::errc() || p != end) return std::nullopt;
+  std::string host = address.substr(0, colon);
+  in_addr probe{};
+  if (::inet_pton(AF_INET, host.c_str(), &probe) != 1) return std::nullopt;
+  return std::make_pair(host, port);
+}
+
+Socket connect_to(const std::string& address, double timeout_s) {
+  sockaddr_in to{};
+  if (!fill(address, to)) return {};
+  Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!s.open()) return {};
+  if (::connect(s.fd(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+    if (errno != EINPROGRESS) return {};
+    const double deadline = steady_now() + timeout_s;
+    pollfd p{s.fd(), POLLOUT, 0};
+    int n = 0;
+    do {
+      n = ::poll(&p, 1, left_ms(deadline));
+    } while (n < 0 && errno == EINTR);
+    if (n <= 0) return {};
+    int err = 0;
+    socklen_t len = sizeof err;
+    if (::getsockopt(s.fd(), SOL_SOCKET, SO_ERROR, &err, &len) != 0 || err != 0) return {};
+  }
+  int flags = ::fcntl(s.fd(), F_GETFL, 0);
+  ::fcntl(s.fd(), F_SETFL, flags & ~O_NONBLOCK);
+  no_delay(s.fd());
+  return s;
+}
+
+Socket listen_on(const std::string& address) {
+  sockaddr_in at{};
+  if (!fill(address, at)) throw std::runtime_error("not an address: " + address);
+  Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!s.open()) throw std::runtime_error("socket: " + std::string(std::strerror(errno)));
+  int on = 1;
+  ::setsockopt(s.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (::bind(s.fd(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(s.fd(), 512) != 0) {
+    throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
+  }
+  return s;
+}
+
+Socket accept_from(const Socket& listener) {
+  int fd = -1;
+  do {
+    fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC);
+  } while (fd < 0 && (errno == EINTR || errno == ECONNABORTED));
+  if (fd >= 0) no_delay(fd);
+  return Socket(fd);
+}
+
+bool Stream::wait_ready(short events, ErrorCode& ec) const {
+  pollfd p{socket_.fd(), events, 0};
+  for (;;) {
+    int n = ::poll(&p, 1, left_ms(*deadline_));
+    if (n > 0) return true;
+    if (n == 0) {
+      ec = boost::asio::error::timed_out;
+      return false;
+    }
+    if (errno != EINTR) {
+      ec = last_error();
+      return false;
+    }
+  }
+}
+
+std::size_t Stream::read_raw(void* data, std::size_t size, ErrorCode& ec) {
+  if (deadline_ && !wait_ready(POLLIN, ec)) return 0;
+  for (;;) {
+    auto n = ::recv(socket_.fd(), data, size, 0);
+    if (n > 0) {
+      ec = {};
+      return static_cast<std::size_t>(n);
+    }
+    if (n == 0) {
+      ec = boost::asio::error::eof;
+      return 0;
+    }
+    if (errno == EINTR) continue;
+    ec = last_error();
+    return 0;
+  }
+}
+
+std::size_t Stream::write_raw(const iovec* parts, int count, ErrorCode& ec) {
+  msghdr message{};
+  message.msg_iov = const_cast<iovec*>(parts);
+  message.msg_iovlen = static_cast<std::size_t>(count);
+  for (;;) {
+    const int flags = MSG_NOSIGNAL | (deadline_ ? MSG_DONTWAIT : 0);
+    auto n = ::sendmsg(socket_.fd(), &message, flags);
+    if (n >= 0) {
+      ec = {};
+      return static_cast<std::size_t>(n);
+    }
+    if (errno == EINTR) continue;
+    if ((errno == EAGAIN || errno == EWOULDBLOCK) && deadline_) {
+      if (!wait_ready(POLLOUT, ec)) return 0;
+      continue;
+    }
+    ec = last_error();
+    return 0;
+  }
+}
+
+bool Stream::read_exact(void* data, std::size_t size, ErrorCode& ec) {
+  auto* at = static_cast<char*>(data);
+  while (size > 0) {
+    auto n = read_raw(at, size, ec);
+    if (ec) return false;
+    at += n;
+    size -= n;
+  }
+  return true;
+}
+
+bool Stream::write_all(const void* data, std::size_t size, ErrorCode& ec) {
+  const auto* at = static_cast<const char*>(data);
+  while (size > 0) {
+    iovec part{const_cast<char*>(at), size};
+    auto n = write_raw(&part, 1, ec);
+    if (ec) return false;
+    at += n;
+    size -= n;
+  }
+  return true;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/transport/threads.hpp
@@ -0,0 +1,22 @@
+// Thread settings that suit a small machine, and an interruptible sleep for long-lived duties.
+#pragma once
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <stop_token>
+
+namespace thistle {
+
+// Small default stacks and one malloc arena: a connection costs a thread, so its memory is kept low.
+void configure_process_memory();
+
+// Sleeps until the time is over or the duty is asked to stop; false when asked to stop.
+inline bool pause_for(std::stop_token stop, double seconds) {
+  std::mutex m;
+  std::condition_variable_any cv;
+  std::unique_lock lock(m);
+  cv.wait_for(lock, stop, std::chrono::duration<double>(seconds), [] { return false; });
+  return !stop.stop_requested();
+}
+
+}  // namespace thistle
