Lease of a greeted worker counts from when it was seen under the new epoch

Cause: a new leader's greeting made a worker known as fenced while no report of it had been answered, so its lease counted from time 0 and its tasks were started elsewhere (ran_twice on troubles, rough).

--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -100,6 +100,7 @@
   host.tenure = report.tenure;
   host.serial = report.serial;
   host.epoch_seen = std::max(host.epoch_seen, report.epoch);
+  if (host.fenced_at == 0 && host.epoch_seen >= fence_epoch) host.fenced_at = now.steady;
   host.reported = true;
   host.lost = false;
   host.reported_at = now.steady;
@@ -199,7 +200,9 @@
 }
 
 bool lease_over(const Host& host, const Fencing& fencing, double lease_s, double steady) {
-  double since = host.answered_at;
+  // An earlier leader's answers count up to the moment when the worker was known to have seen this one's epoch:
+  // a worker greeted with a direct command has a lease that this leader never renewed.
+  double since = std::max(host.answered_at, host.fenced_at);
   if (host.epoch_seen < fencing.epoch) {
     // Another controller may have answered it under an older epoch until it learned of this one.
     if (fencing.peers_acked_at < 0) return false;
