--- /dev/null
+++ b/tests/dealings_test.cpp
@@ -0,0 +1,177 @@
+// What a report means, and what a worker is due: the invariants of dealings with workers.
+#include "coordination/dealings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace thistle {
+namespace {
+
+constexpr std::uint64_t kEpoch = 10;
+
+class Dealings : public testing::Test {
+ protected:
+  Dealings() : book({{"red", {}, {}, {}}}) {
+    Flavor f;
+    f.name = "big";
+    f.room = {8, 0, 32};
+    book.apply(FlavorsRecord{{f}});
+  }
+  void accept(const std::string& uid, std::uint32_t pieces, Shape shape = Shape::batch) {
+    AcceptRecord r;
+    r.job.uid = uid;
+    r.job.owner = "red";
+    r.job.job_class = "c";
+    r.job.bundle = "i";
+    r.job.shape = shape;
+    r.job.pieces = pieces;
+    r.job.need = {1, 0, 1};
+    book.apply(r);
+  }
+  void start(const std::string& uid, std::uint64_t attempt, Range tasks, std::uint64_t tenure = 1) {
+    book.apply(StartRecord{uid, attempt, 0, {{"m-1", tenure, {tasks}}}});
+  }
+  ReportOutcome report(std::vector<ReportedPiece> pieces, bool by_report = true, std::uint64_t epoch = kEpoch,
+                       std::uint64_t tenure = 1) {
+    Report r;
+    r.host = "m-1";
+    r.address = "127.0.0.1:1";
+    r.kind = "big";
+    r.yard = "x";
+    r.tenure = tenure;
+    r.serial = ++serial;
+    r.epoch = epoch;
+    r.pieces = std::move(pieces);
+    return take_report(book, r, {steady, steady}, by_report, kEpoch);
+  }
+  void make_durable(const ReportOutcome& o) {
+    for (const auto& r : o.records) book.apply(r);
+  }
+  Host& host() { return book.host(book.find_host("m-1")); }
+  std::vector<Order> orders() { return orders_for(book, book.find_host("m-1"), kEpoch); }
+  Job& job(const std::string& uid) { return book.job(book.find(uid)); }
+
+  Book book;
+  std::uint64_t serial = 0;
+  double steady = 100;
+};
+
+ReportedPiece piece(const std::string& uid, std::uint32_t task, std::uint64_t attempt, Phase phase,
+                    Cause cause = Cause::none) {
+  return {{uid, task}, attempt, phase, cause, false};
+}
+
+TEST_F(Dealings, RunIsRepeatedUntilTheWorkerShowsTheTask) {
+  accept("j-1", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  ASSERT_EQ(orders().size(), 1u);
+  EXPECT_EQ(orders()[0].verb, Verb::run);
+  report({});
+  EXPECT_EQ(orders().size(), 1u);
+  report({piece("j-1", 0, 1, Phase::pulling)});
+  EXPECT_TRUE(orders().empty());
+}
+
+TEST_F(Dealings, ReapOnlyAfterTheOutcomeIsInTheLedgerAndRunNeverAfterwards) {
+  accept("j-1", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  const auto outcome = report({piece("j-1", 0, 1, Phase::exited, Cause::done)});
+  ASSERT_EQ(outcome.records.size(), 1u);
+  EXPECT_TRUE(orders().empty()) << "neither reap nor run while the outcome is on its way";
+  make_durable(outcome);
+  EXPECT_EQ(job("j-1").status, JobStatus::done);
+  ASSERT_EQ(orders().size(), 1u);
+  EXPECT_EQ(orders()[0].verb, Verb::reap);
+  report({});
+  EXPECT_TRUE(orders().empty());
+}
+
+TEST_F(Dealings, NoReapWhileADirectStartIsInDoubt) {
+  accept("j-1", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  host().doubt_epoch = kEpoch;
+  make_durable(report({piece("j-1", 0, 1, Phase::exited, Cause::error)}));
+  // A late start would run it again if the worker had forgotten this attempt.
+  EXPECT_TRUE(orders().empty());
+  report({piece("j-1", 0, 1, Phase::exited, Cause::error)}, true, kEpoch + 1);
+  ASSERT_EQ(orders().size(), 1u);
+  EXPECT_EQ(orders()[0].verb, Verb::reap);
+}
+
+TEST_F(Dealings, AStoppedTaskThatIsAbsentIsOffOnlyWhenNoStartCanBeOnItsWay) {
+  accept("j-1", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  book.apply(CancelRecord{"j-1"});
+  EXPECT_EQ(orders()[0].verb, Verb::kill);
+  EXPECT_TRUE(report({}, false).records.empty()) << "the answer to a direct command says nothing of reports' answers";
+  EXPECT_TRUE(report({}, true, kEpoch - 1).records.empty()) << "an earlier leader's start may be on its way";
+  host().doubt_epoch = kEpoch;
+  EXPECT_TRUE(report({}).records.empty()) << "a start of this leader is in doubt";
+  const auto outcome = report({}, true, kEpoch + 1);
+  ASSERT_EQ(outcome.records.size(), 1u);
+  make_durable(outcome);
+  EXPECT_TRUE(host().placed.empty());
+}
+
+TEST_F(Dealings, ALaterTenureMeansThatAllIsOff) {
+  accept("j-1", 2);
+  report({});
+  start("j-1", 1, {0, 2});
+  make_durable(report({}, true, kEpoch, 2));
+  EXPECT_EQ(job("j-1").waiting, 2u);
+  EXPECT_TRUE(orders().empty());
+}
+
+TEST_F(Dealings, AnOlderReportChangesNothing) {
+  accept("j-1", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  report({piece("j-1", 0, 1, Phase::running)});
+  serial = 0;
+  EXPECT_TRUE(report({}).stale);
+  EXPECT_EQ(job("j-1").running(), 1u);
+}
+
+TEST_F(Dealings, StrayAttemptsAreKilled) {
+  accept("j-1", 1);
+  report({piece("j-1", 0, 7, Phase::running), piece("j-9", 3, 1, Phase::running)});
+  const auto due = orders();
+  ASSERT_EQ(due.size(), 2u);
+  EXPECT_EQ(due[0].verb, Verb::kill);
+  EXPECT_EQ(due[1].verb, Verb::kill);
+}
+
+TEST_F(Dealings, ABrokenGangIsStopped) {
+  accept("j-1", 2, Shape::group);
+  report({});
+  start("j-1", 1, {0, 2});
+  make_durable(report({piece("j-1", 0, 1, Phase::running), piece("j-1", 1, 1, Phase::exited, Cause::error)}));
+  EXPECT_TRUE(stop_broken_gangs(book));
+  EXPECT_TRUE(job("j-1").placed.at(0).stopping);
+}
+
+// A new leader greets a worker before it has answered any of its reports: its lease must not count from never.
+TEST(Lease, OfAGreetedWorkerCountsFromWhenItWasKnownToHaveSeenTheEpoch) {
+  Host host;
+  host.epoch_seen = kEpoch;
+  host.fenced_at = 100;
+  const Fencing fencing{kEpoch, 99, 99.5};
+  EXPECT_FALSE(lease_over(host, fencing, 10, 101));
+  EXPECT_FALSE(lease_over(host, fencing, 10, 109.9));
+  EXPECT_TRUE(lease_over(host, fencing, 10, 111));
+}
+
+TEST(Lease, OfASilentWorkerIsNotOverWhileAPeerMayStillAnswerIt) {
+  Host host;
+  Fencing fencing{kEpoch, 100, -1};
+  EXPECT_FALSE(lease_over(host, fencing, 10, 1e6));
+  fencing.peers_acked_at = 200;
+  EXPECT_FALSE(lease_over(host, fencing, 10, 205));
+  EXPECT_TRUE(lease_over(host, fencing, 10, 211));
+}
+
+}  // namespace
+}  // namespace thistle
--- /dev/null
+++ b/tests/messages_test.cpp
@@ -0,0 +1,105 @@
+// Messages: what is taken, what is refused and by which field's name, and round trips.
+#include "protocol/messages.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/peer_messages.hpp"
+
+namespace thistle {
+namespace {
+
+nlohmann::json good() {
+  return {{"uid", "j-000412"}, {"jobClass", "train"}, {"owner", "vision"}, {"shape", "group"}, {"rank", "high"},
+          {"pieces", 16},      {"cores", 8.0},        {"accelerators", 1}, {"ramGb", 64.0},    {"bundle", "img"},
+          {"pullGb", 6.2},     {"hostKinds", {"g8"}}, {"yard", nullptr},   {"oneZone", true},  {"expectedS", 240.0}};
+}
+
+std::string refusal(const nlohmann::json& j) {
+  try {
+    parse_submission(j.dump());
+    return "taken";
+  } catch (const Malformed& e) {
+    return e.what();
+  }
+}
+
+TEST(Submission, UnknownFieldsAreIgnoredAndNullsAreOmissions) {
+  auto j = good();
+  j["later"] = {1, 2};
+  j["dueS"] = nullptr;
+  const auto s = parse_submission(j.dump());
+  EXPECT_EQ(s.pieces, 16u);
+  EXPECT_FALSE(s.due_s.has_value());
+  EXPECT_TRUE(s.yard.empty());
+}
+
+TEST(Submission, RefusalNamesTheField) {
+  const std::pair<const char*, nlohmann::json> cases[] = {
+      {"uid", "k-1"},      {"uid", "j-"},     {"uid", 7},        {"pieces", 0},    {"pieces", -1}, {"pieces", 1.5},
+      {"pieces", 100001},  {"cores", -1},     {"cores", "8"},    {"cores", 1e300}, {"shape", "x"}, {"rank", nullptr},
+      {"hostKinds", "g8"}, {"oneZone", 1},    {"owner", ""},     {"dueS", -3},     {"ramGb", nullptr},
+      {"hostKinds", nlohmann::json::array()}};
+  for (const auto& [field, value] : cases) {
+    auto j = good();
+    j[field] = value;
+    EXPECT_EQ(refusal(j).rfind(std::string(field) + ": ", 0), 0u) << field << "=" << value << ": " << refusal(j);
+  }
+  EXPECT_THROW(parse_submission("{"), Malformed);
+  EXPECT_THROW(parse_submission("[]"), Malformed);
+  EXPECT_THROW(parse_submission("{\"cores\":1e999}"), Malformed);
+}
+
+TEST(Routes, PathsAndMethods) {
+  using Kind = UserRoute::Kind;
+  EXPECT_EQ(route_of("POST", "/v1/jobs").kind, Kind::submit);
+  EXPECT_EQ(route_of("GET", "/v1/jobs/j-1").uid, "j-1");
+  EXPECT_EQ(route_of("POST", "/v1/jobs/j-1/withdraw").kind, Kind::withdraw);
+  EXPECT_EQ(route_of("GET", "/v1/jobs/j-1/withdraw").kind, Kind::wrong_method);
+  EXPECT_EQ(route_of("DELETE", "/v1/jobs").kind, Kind::wrong_method);
+  EXPECT_EQ(route_of("GET", "/v1/jobsx").kind, Kind::unknown);
+  EXPECT_EQ(route_of("GET", "/v1/jobs/j-1/else").kind, Kind::unknown);
+}
+
+TEST(Reports, MalformedOnesAreRefused) {
+  const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","tenure":1,"serial":2,"epoch":3,)";
+  const auto r = parse_report(head + R"("recallS":null,"pieces":[{"piece":"j-1/3","try":2,"status":"running"}]})");
+  EXPECT_EQ(r.pieces.at(0).id.task, 3u);
+  for (const char* tail : {R"("pieces":3})", R"("pieces":[{"piece":"j-1","try":2,"status":"running"}]})",
+                           R"("pieces":[{"piece":"j-1/99999999","try":2,"status":"running"}]})",
+                           R"("pieces":[{"piece":"j-1/1","try":-2,"status":"running"}]})",
+                           R"("pieces":[{"piece":"j-1/1","try":2,"status":"odd"}]})"})
+    EXPECT_THROW(parse_report(head + tail), Malformed) << tail;
+}
+
+TEST(Ledger, RecordsComeBackAsTheyWere) {
+  const auto s = parse_submission(good().dump());
+  const std::string text = encode_record(AcceptRecord{s, 0.25, 12.5}) + "," +
+                           encode_record(StartRecord{"j-000412", 3, 9.5, {{"m-1", 2, {{0, 4}, {6, 7}}}}}) + "," +
+                           encode_record(DoneRecord{"j-000412", {{0, 1}}});
+  const auto entry = parse_entry(entry_value(7, text));
+  EXPECT_EQ(entry.seq, 7u);
+  const auto& accept = std::get<AcceptRecord>(entry.records.at(0));
+  EXPECT_EQ(accept.job.uid, s.uid);
+  EXPECT_EQ(accept.job.host_kinds, s.host_kinds);
+  EXPECT_TRUE(accept.job.one_zone);
+  EXPECT_DOUBLE_EQ(accept.draw, 0.25);
+  const auto& start = std::get<StartRecord>(entry.records.at(1));
+  EXPECT_EQ(start.parts.at(0).tasks, (Ranges{{0, 4}, {6, 7}}));
+  EXPECT_THROW(parse_entry(R"({"seq":1,"records":[["start"]]})"), Malformed);
+}
+
+TEST(Frames, BoundsAreChecked) {
+  const Frame frame = pack(PeerCall{"GET", "/v1/jobs/j-1", "body"});
+  const auto call = unpack_call(frame);
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call->target, "/v1/jobs/j-1");
+  for (std::size_t cut = 0; cut < frame.payload.size(); ++cut)
+    EXPECT_FALSE(unpack_call({frame.kind, frame.payload.substr(0, cut)})) << cut;
+  EXPECT_FALSE(unpack_call({frame.kind, frame.payload + "x"}));
+  EXPECT_FALSE(unpack_beat(frame));
+}
+
+}  // namespace
+}  // namespace thistle
--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,142 @@
+// Runs the kept traces: a queue and a fleet in, a timetable out.
+#include "coordination/planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace thistle {
+namespace {
+
+struct Trace {
+  PlanInput input;
+  std::vector<std::string> hosts, jobs;
+  std::vector<std::string> expected;
+};
+
+Trace read_trace(const std::filesystem::path& path) {
+  Trace t;
+  std::map<std::string, std::uint32_t> kinds, zones, teams;
+  const auto id = [](auto& names, const std::string& name) {
+    return names.try_emplace(name, static_cast<std::uint32_t>(names.size())).first->second;
+  };
+  std::ifstream in(path);
+  std::string line;
+  while (std::getline(in, line)) {
+    std::istringstream words(line);
+    std::string what, name, word;
+    if (!(words >> what) || what[0] == '#') continue;
+    if (what == "now") {
+      words >> t.input.now;
+    } else if (what == "expect") {
+      std::getline(words >> std::ws, line);
+      t.expected.push_back(line);
+    } else if (what == "host") {
+      words >> name;
+      PlanHost h;
+      h.host = HostIdx{static_cast<std::uint32_t>(t.hosts.size())};
+      while (words >> word) {
+        std::string value;
+        if (word == "spot") h.loaner = true;
+        else if (words >> value; word == "kind") h.kind = KindIdx{id(kinds, value)};
+        else if (word == "zone") h.zone = ZoneIdx{id(zones, value)};
+        else if (word == "cores") h.room.cores = std::stod(value);
+        else if (word == "gpus") h.room.accelerators = std::stod(value);
+        else if (word == "ram") h.room.ram_gb = std::stod(value);
+        else ADD_FAILURE() << path << ": " << word;
+      }
+      t.hosts.push_back(name);
+      t.input.hosts.push_back(h);
+    } else if (what == "busy") {
+      words >> name;
+      PlanHost::Occupant o;
+      while (words >> word) {
+        double value = 0;
+        words >> value;
+        if (word == "cores") o.need.cores = value;
+        else if (word == "ram") o.need.ram_gb = value;
+        else if (word == "until") o.until = value;
+        else ADD_FAILURE() << path << ": " << word;
+      }
+      const auto at = std::find(t.hosts.begin(), t.hosts.end(), name) - t.hosts.begin();
+      t.input.hosts.at(static_cast<std::size_t>(at)).occupants.push_back(o);
+    } else if (what == "team") {
+      words >> name >> word;
+      id(teams, name);
+      TeamRoom room{{0, 1e9, 1e9}};
+      words >> room.left.cores;
+      t.input.teams.push_back(room);
+    } else {
+      words >> name;
+      PlanJob j;
+      j.job = JobIdx{static_cast<std::uint32_t>(t.jobs.size())};
+      j.units = 1;
+      j.gang = what == "gang";
+      j.service = what == "service";
+      double draw = -1, waited = 0;
+      bool spread = false;
+      while (words >> word) {
+        if (word[0] == 'x') {
+          j.units = static_cast<std::uint32_t>(std::stoul(word.substr(1)));
+          continue;
+        }
+        if (word == "onezone") { j.one_zone = true; continue; }
+        if (word == "spread") { spread = true; continue; }
+        std::string value;
+        words >> value;
+        if (word == "cores") j.need.cores = std::stod(value);
+        else if (word == "gpus") j.need.accelerators = std::stod(value);
+        else if (word == "ram") j.need.ram_gb = std::stod(value);
+        else if (word == "run") j.run_s = std::stod(value);
+        else if (word == "key") j.key = std::stod(value);
+        else if (word == "tier") j.tier = std::stoi(value);
+        else if (word == "draw") draw = std::stod(value);
+        else if (word == "waited") waited = std::stod(value);
+        else if (word == "team") j.team = TeamIdx{id(teams, value)};
+        else ADD_FAILURE() << path << ": " << word;
+      }
+      if (draw >= 0) j.key = key_of(draw, j.run_s, 0.1 / 3600, waited, j.service);
+      if (spread) j.zone_cap = (j.units + 1) / 2;
+      t.jobs.push_back(name);
+      t.input.jobs.push_back(j);
+    }
+  }
+  return t;
+}
+
+class PlannerTrace : public testing::TestWithParam<std::filesystem::path> {};
+
+TEST_P(PlannerTrace, GivesTheTimetable) {
+  const Trace t = read_trace(GetParam());
+  ASSERT_FALSE(t.expected.empty());
+  const Plan plan = make_plan(t.input);
+  std::vector<std::string> got;
+  const auto say = [&](const Slot& s, bool start) {
+    std::ostringstream out;
+    out << (start ? "start " : "hold ") << t.jobs[s.job.v] << ' ' << t.hosts[s.host.v] << " x" << s.count;
+    if (!start) out << " at " << s.at;
+    got.push_back(out.str());
+  };
+  for (const auto& s : plan.starts) say(s, true);
+  for (const auto& s : plan.holds) say(s, false);
+  auto expected = t.expected;
+  std::sort(expected.begin(), expected.end());
+  std::sort(got.begin(), got.end());
+  EXPECT_EQ(got, expected);
+}
+
+std::vector<std::filesystem::path> traces() {
+  std::vector<std::filesystem::path> out;
+  for (const auto& e : std::filesystem::directory_iterator(TRACES)) out.push_back(e.path());
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(Kept, PlannerTrace, testing::ValuesIn(traces()),
+                         [](const auto& info) { return info.param.stem().string(); });
+
+}  // namespace
+}  // namespace thistle
