--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -90,6 +90,7 @@
   void pass_duty(std::stop_token stop);
   void pass(Lock& lock);
   PlanInput plan_input(double wall, double steady);
+  std::set<JobIdx> within_guarantee() const;
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
 
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -1,6 +1,8 @@
 // The pass: ends of leases, broken gangs, the timetable, and one commit of what it starts.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
@@ -31,6 +33,32 @@
   }
 }
 
+// A job lies within its team's guarantee if it fits there together with the team's earlier unfinished jobs.
+std::set<JobIdx> Controller::within_guarantee() const {
+  const Book& book = *term_->book;
+  std::vector<JobIdx> jobs;
+  for (JobIdx j : book.live())
+    if (!book.job(j).ended() && book.job(j).team.valid()) jobs.push_back(j);
+  std::sort(jobs.begin(), jobs.end(), [&](JobIdx a, JobIdx b) {
+    return book.job(a).accepted_at < book.job(b).accepted_at;
+  });
+  std::vector<Resources> sums(book.teams().size());
+  std::set<JobIdx> within;
+  for (JobIdx j : jobs) {
+    const Job& job = book.job(j);
+    const Resources& guarantee = book.teams()[job.team.v].guarantee;
+    const auto unfinished = static_cast<double>(job.tasks.size() - job.done);
+    auto& sum = sums[job.team.v];
+    sum += job.spec.need * unfinished;
+    const bool named = (guarantee.cores > 0 && job.spec.need.cores > 0) ||
+                       (guarantee.accelerators > 0 && job.spec.need.accelerators > 0);
+    const bool fits = (guarantee.cores <= 0 || sum.cores <= guarantee.cores + 1e-6) &&
+                      (guarantee.accelerators <= 0 || sum.accelerators <= guarantee.accelerators + 1e-6);
+    if (named && fits) within.insert(j);
+  }
+  return within;
+}
+
 PlanJob Controller::plan_job(JobIdx j, const PlanInput& in, double wall) {
   const Book& book = *term_->book;
   const Job& job = book.job(j);
@@ -113,12 +141,15 @@
     room.left.ram_gb = kUnlimited;
     in.teams.push_back(room);
   }
+  const auto within = within_guarantee();
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
     if (job.ended() || job.waiting == 0 || job.not_before > wall) continue;
     // A gang is one unit: all of its tasks must be off their machines before it is planned again.
     if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
     in.jobs.push_back(plan_job(j, in, wall));
+    // Rank goes before the key, and within a rank what the team is guaranteed (docs/design.md, exceptions).
+    in.jobs.back().tier = 2 * static_cast<int>(job.spec.rank) + (within.contains(j) ? 1 : 0);
   }
   return in;
 }
