--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -100,6 +100,18 @@
   return std::nullopt;
 }
 
+Resources Book::accelerator_need(KindIdx k) const {
+  Resources most;
+  for (KindIdx key : {k, KindIdx{}}) {
+    auto it = accelerator_needs_.find(key);
+    if (it == accelerator_needs_.end()) continue;
+    most.cores = std::max(most.cores, it->second.cores);
+    most.accelerators = std::max(most.accelerators, it->second.accelerators);
+    most.ram_gb = std::max(most.ram_gb, it->second.ram_gb);
+  }
+  return most;
+}
+
 JobIdx Book::add_job(const AcceptRecord& r) {
   JobIdx j{static_cast<std::uint32_t>(jobs_.size())};
   auto& job = jobs_.emplace_back();
@@ -114,6 +126,16 @@
   job.accepted_at = job.waiting_since = r.at;
   job.tasks.assign(r.job.pieces, TaskState::waiting);
   job.waiting = r.job.pieces;
+  if (job.spec.need.accelerators > 0) {
+    const auto note = [&](KindIdx k) {
+      auto& most = accelerator_needs_[k];
+      most.cores = std::max(most.cores, job.spec.need.cores);
+      most.accelerators = std::max(most.accelerators, job.spec.need.accelerators);
+      most.ram_gb = std::max(most.ram_gb, job.spec.need.ram_gb);
+    };
+    for (auto k : job.kinds) note(k);
+    if (job.kinds.empty()) note(KindIdx{});
+  }
   by_uid_.emplace(job.uid, j);
   live_.push_back(j);
   return j;
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -143,6 +143,9 @@
   [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
   [[nodiscard]] TeamIdx team_of(std::string_view name) const { return team_names_.find(name); }
 
+  // The largest task with accelerators accepted so far that may run on this kind; zero when none.
+  [[nodiscard]] Resources accelerator_need(KindIdx k) const;
+
   // The whole book as records, for a snapshot.
   [[nodiscard]] std::vector<Record> records() const;
 
@@ -175,6 +178,7 @@
   std::unordered_map<std::string, HostIdx> by_name_;
   std::vector<Flavor> flavors_;
   std::vector<int> flavor_of_kind_;
+  std::map<KindIdx, Resources> accelerator_needs_;  // kind not valid: jobs that may use any
 };
 
 }  // namespace thistle
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -89,7 +89,7 @@
   // ---- passes (passes.cpp)
   void pass_duty(std::stop_token stop);
   void pass(Lock& lock);
-  PlanInput plan_input(double wall, double steady);
+  PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
@@ -163,7 +163,7 @@
   std::vector<PeerLink> links_;
 
   struct Counters {
-    std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, passes{0},
+    std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0},
         commits{0}, reports{0};
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "coordination/controller.hpp"
+#include "coordination/preemption.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -93,7 +94,7 @@
   return out;
 }
 
-PlanInput Controller::plan_input(double wall, double steady) {
+PlanInput Controller::plan_input(double wall, double steady, const std::set<JobIdx>& within) {
   Book& book = *term_->book;
   PlanInput in;
   in.now = wall;
@@ -111,6 +112,12 @@
     p.loaner = host.loaner;
     p.room = flavor->room;
     p.fetch_gb_per_s = flavor->fetch_gb_per_s;
+    const Resources biggest = book.accelerator_need(host.kind);
+    if (flavor->room.accelerators > 0 && biggest.accelerators > 0 && biggest.fits(flavor->room)) {
+      p.lends_all = false;
+      p.lent = flavor->room;
+      for (Resources left = flavor->room; biggest.fits(left); left -= biggest) p.lent -= biggest;
+    }
     for (const auto& image : host.images) p.images.push_back(image.first);
     for (const auto& ref : host.placed) {
       const Placement* at = book.placement(ref);
@@ -123,6 +130,7 @@
         until = (at->running_at > 0 ? at->running_at : std::max(at->at, wall - 1)) + job.spec.expected_s;
       }
       p.occupants.push_back({job.spec.need, until});
+      if (until == kForever && job.spec.need.accelerators == 0) p.lent -= job.spec.need;
     }
     // What the worker still holds and the book no longer places there is on its way out.
     for (const auto& s : host.pieces) {
@@ -141,10 +149,15 @@
     room.left.ram_gb = kUnlimited;
     in.teams.push_back(room);
   }
-  const auto within = within_guarantee();
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
     if (job.ended() || job.waiting == 0 || job.not_before > wall) continue;
+    // After a takeover a machine's zone is unknown until it is listed or reports: the zones of the job's other
+    // tasks must be known before one more is placed (wrong_place).
+    if ((job.spec.spread || job.spec.one_zone) &&
+        std::any_of(job.placed.begin(), job.placed.end(),
+                    [&](const auto& p) { return !book.host(p.second.host).zone.valid(); }))
+      continue;
     // A gang is one unit: all of its tasks must be off their machines before it is planned again.
     if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
     in.jobs.push_back(plan_job(j, in, wall));
@@ -173,8 +186,17 @@
       for (const auto& [task, p] : book.job(j).placed)
         if (p.stopping) touched.insert(p.host);
   }
-  auto plan = make_plan(plan_input(wall, steady));
+  const auto within = within_guarantee();
+  const auto input = plan_input(wall, steady, within);
+  auto plan = make_plan(input);
   unserved_ = plan.unserved;
+  // What is stopped here makes room that later passes give out, highest tier first.
+  for (const auto& v : choose_victims({book, input, plan, within, wall})) {
+    Placement* p = book.placement(v.ref);
+    stop_task(*p, v.wind_down_s);
+    touched.insert(p->host);
+    ++counters_.preempted;
+  }
   // Slots that are now become task numbers; one attempt number for all starts of a job in this pass.
   std::map<JobIdx, StartRecord> starts;
   std::map<JobIdx, std::uint32_t> next_task;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -119,6 +119,8 @@
     if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end())
       return false;
     if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
+    // A service never ends: on a machine with accelerators it would shut out the work that needs them.
+    if (job.service && job.need.accelerators == 0 && !host.lends_all && !job.need.fits(host.lent)) return false;
     return job.need.fits(host.room);
   }
   [[nodiscard]] double pull_s(const PlanJob& job, const PlanHost& host) const {
@@ -160,6 +162,7 @@
   void record(PlanJob& job, std::size_t h, std::uint32_t units, double t) {
     const PlanHost& host = in_.hosts[h];
     profiles_[h].take(job.need * units, t, duration(job, host));
+    if (job.service && job.need.accelerators == 0) in_.hosts[h].lent -= job.need * units;
     at(job.zone_used, host.zone.v) += units;
     at(job.host_used, h) += units;
     (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t});
@@ -194,7 +197,7 @@
         continue;
       }
       const std::uint32_t used = at(job.zone_used, host.zone.v);
-      if (used >= job.zone_cap) continue;
+      if (used >= job.zone_cap || !allowed(job, host)) continue;
       if (job.one_zone && zone_taken(job, host.zone)) continue;
       std::uint32_t n = std::min(left, job.zone_cap - used);
       n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -24,6 +24,8 @@
   };
   std::vector<Occupant> occupants;
   std::vector<ImageIdx> images;
+  Resources lent;       // what services without accelerators may still take here; see docs/design.md, exceptions
+  bool lends_all = true;
 };
 
 // The waiting units of a job; those of an array or a service are alike, so they are planned as one run.
--- /dev/null
+++ b/src/coordination/preemption.cpp
@@ -0,0 +1,190 @@
+#include "coordination/preemption.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace thistle {
+
+namespace {
+
+constexpr double kServiceLoss = 1e6;   // stopping a replica costs its users more than any repeated work
+constexpr double kFreshStart = 30.0;   // a start stopped sooner than this counts for nothing
+constexpr std::size_t kMostUnits = 64; // units that one pass makes room for
+
+struct Candidate {
+  JobIdx job;
+  std::vector<PieceRef> refs;  // one task, or all tasks of a gang on any machine
+  Resources here;              // what it frees on the machine looked at
+  double lost = 0;             // seconds of core time to be repeated
+};
+
+// Seconds of work that stopping this task loses.
+double lost_by(const Job& job, const Placement& p, double wall) {
+  if (job.spec.shape == Shape::service) return kServiceLoss;
+  double ran = p.running_at > 0 ? std::max(0.0, wall - p.running_at) : 0;
+  if (job.spec.snapshot_every_s > 0) ran = std::min(ran, job.spec.snapshot_s);
+  return (ran + (wall - p.at < kFreshStart ? kFreshStart : 0)) * std::max(job.spec.need.cores, 0.1);
+}
+
+class Chooser {
+ public:
+  explicit Chooser(const PreemptionInput& in) : in_(in), book_(in.book) {
+    for (const auto& h : in.plan_input.hosts) {
+      Resources free = h.room;
+      for (const auto& o : h.occupants) free -= o.need;
+      free_[h.host] = free;
+    }
+    for (const auto& s : in.plan.starts)
+      if (auto it = free_.find(s.host); it != free_.end()) it->second -= book_.job(s.job).spec.need * s.count;
+    for (const auto& t : book_.teams()) excess_.push_back(t.used - t.guarantee);
+  }
+
+  std::vector<Victim> run() {
+    std::map<JobIdx, Plan::Unserved> unserved;
+    for (const auto& u : in_.plan.unserved) unserved[u.job] = u;
+    std::vector<const PlanJob*> order;
+    for (const auto& j : in_.plan_input.jobs)
+      if (unserved.contains(j.job)) order.push_back(&j);
+    std::stable_sort(order.begin(), order.end(), [](const PlanJob* a, const PlanJob* b) {
+      return a->tier != b->tier ? a->tier > b->tier : a->key > b->key;
+    });
+    std::size_t units = 0;
+    for (const auto* job : order) {
+      const auto& u = unserved[job->job];
+      if (u.earliest - in_.wall <= in_.patience_s) continue;
+      // A gang of several tasks needs all its room at once; its held slot is waited for.
+      const std::uint32_t wanted = job->gang && u.units > 1 ? 0 : u.units;
+      zones_ = job->zone_used;
+      for (const auto& s : in_.plan.starts)
+        if (s.job == job->job) ++zone_count(book_.host(s.host).zone);
+      for (std::uint32_t n = 0; n < wanted && units < kMostUnits; ++n, ++units)
+        if (!make_room(*job)) break;
+    }
+    return std::move(victims_);
+  }
+
+ private:
+  std::uint32_t& zone_count(ZoneIdx z) {
+    if (zones_.size() <= z.v) zones_.resize(z.v + 1, 0);
+    return zones_[z.v];
+  }
+
+  [[nodiscard]] bool may_stop(const PlanJob& claim, const Job& victim) const {
+    const Job& job = book_.job(claim.job);
+    if (victim.spec.rank < job.spec.rank) return true;
+    if (victim.spec.rank > job.spec.rank || victim.team == job.team || !victim.team.valid()) return false;
+    if (!in_.within_guarantee.contains(claim.job)) return false;
+    // Only what the other team has beyond its own guarantee, and only where that is what is wanted.
+    const auto& team = book_.teams()[victim.team.v];
+    const auto& excess = excess_[victim.team.v];
+    const bool cores = team.guarantee.cores > 0 && excess.cores >= victim.spec.need.cores;
+    const bool accelerators = team.guarantee.accelerators > 0 && victim.spec.need.accelerators > 0 &&
+                              excess.accelerators >= victim.spec.need.accelerators;
+    return cores || accelerators;
+  }
+
+  bool allowed(const PlanJob& job, const PlanHost& host) {
+    if (host.loaner && !job.loaners) return false;
+    if (job.yard.valid() && host.zone != job.yard) return false;
+    if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end())
+      return false;
+    if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
+    if (zone_count(host.zone) >= job.zone_cap) return false;
+    if (job.service && job.need.accelerators == 0 && !host.lends_all && !job.need.fits(host.lent)) return false;
+    if (job.one_zone)
+      for (std::size_t z = 0; z < zones_.size(); ++z)
+        if (z != host.zone.v && zones_[z] > 0) return false;
+    return job.need.fits(host.room);
+  }
+
+  // The cheapest set of victims on one machine that lets one more unit in.
+  bool make_room(const PlanJob& job) {
+    double best = kForever;
+    HostIdx best_host;
+    std::vector<Candidate> best_set;
+    for (const auto& host : in_.plan_input.hosts) {
+      if (!allowed(job, host)) continue;
+      Resources free = free_[host.host];
+      std::vector<Candidate> candidates;
+      if (!job.need.fits(free)) candidates = candidates_on(job, host.host);
+      std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.lost < b.lost; });
+      std::vector<Candidate> set;
+      double lost = job.need.accelerators == 0 && host.room.accelerators > 0 ? 1 : 0;
+      for (auto& c : candidates) {
+        if (job.need.fits(free)) break;
+        free += c.here;
+        lost += c.lost;
+        set.push_back(std::move(c));
+      }
+      if (!job.need.fits(free) || lost >= best) continue;
+      // What the others freed already may make some of them unnecessary; the dearest are given back first.
+      for (auto it = set.rbegin(); it != set.rend();) {
+        if (job.need.fits(free - it->here)) {
+          free -= it->here;
+          lost -= it->lost;
+          it = decltype(it)(set.erase(std::next(it).base()));
+        } else {
+          ++it;
+        }
+      }
+      best = lost;
+      best_host = host.host;
+      best_set = std::move(set);
+    }
+    if (!best_host.valid()) return false;
+    for (const auto& c : best_set) {
+      const Job& victim = book_.job(c.job);
+      for (const auto& ref : c.refs) {
+        taken_.insert(ref);
+        victims_.push_back({ref, victim.spec.snapshot_every_s > 0 ? victim.spec.snapshot_s : 0});
+        const auto& p = victim.placed.at(ref.task);
+        if (auto it = free_.find(p.host); it != free_.end()) it->second += victim.spec.need;
+        if (victim.team.valid()) excess_[victim.team.v] -= victim.spec.need;
+      }
+    }
+    free_[best_host] -= job.need;
+    ++zone_count(book_.host(best_host).zone);
+    return true;
+  }
+
+  std::vector<Candidate> candidates_on(const PlanJob& job, HostIdx h) {
+    std::vector<Candidate> out;
+    std::set<JobIdx> gangs;
+    for (const auto& ref : book_.host(h).placed) {
+      const Job& victim = book_.job(ref.job);
+      if (taken_.contains(ref) || !may_stop(job, victim)) continue;
+      const auto it = victim.placed.find(ref.task);
+      if (it == victim.placed.end() || it->second.stopping || it->second.closing) continue;
+      Candidate c;
+      c.job = ref.job;
+      if (victim.spec.shape == Shape::group) {
+        if (!gangs.insert(ref.job).second) continue;
+        for (const auto& [task, p] : victim.placed) {
+          c.refs.push_back({ref.job, task});
+          if (p.host == h) c.here += victim.spec.need;
+          c.lost += lost_by(victim, p, in_.wall);
+        }
+      } else {
+        c.refs.push_back(ref);
+        c.here = victim.spec.need;
+        c.lost = lost_by(victim, it->second, in_.wall);
+      }
+      out.push_back(std::move(c));
+    }
+    return out;
+  }
+
+  const PreemptionInput& in_;
+  const Book& book_;
+  std::map<HostIdx, Resources> free_;
+  std::vector<Resources> excess_;
+  std::vector<std::uint32_t> zones_;
+  std::set<PieceRef> taken_;
+  std::vector<Victim> victims_;
+};
+
+}  // namespace
+
+std::vector<Victim> choose_victims(const PreemptionInput& in) { return Chooser(in).run(); }
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/preemption.hpp
@@ -0,0 +1,29 @@
+// Which running tasks make room for work of higher rank, or for what a team is guaranteed. Pure.
+#pragma once
+#include <set>
+#include <vector>
+
+#include "bookkeeping/book.hpp"
+#include "coordination/planner.hpp"
+
+namespace thistle {
+
+struct Victim {
+  PieceRef ref;
+  double wind_down_s = 0;
+};
+
+struct PreemptionInput {
+  const Book& book;
+  const PlanInput& plan_input;
+  const Plan& plan;
+  const std::set<JobIdx>& within_guarantee;
+  double wall = 0;
+  double patience_s = 2;  // a slot held no later than this is waited for
+};
+
+// Never of equal or higher rank, except work that another team runs beyond its guarantee, of no higher rank, for
+// work within a guarantee. Least useful work lost first; all of a gang or none.
+std::vector<Victim> choose_victims(const PreemptionInput& in);
+
+}  // namespace thistle
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -267,6 +267,7 @@
   line("unavailable_total", counters_.unavailable.load());
   line("started_total", counters_.started.load());
   line("finished_total", counters_.finished.load());
+  line("preempted_total", counters_.preempted.load());
   line("passes_total", counters_.passes.load());
   line("pass_seconds_total", counters_.pass_seconds.load());
   line("commits_total", counters_.commits.load());
