--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -91,6 +91,7 @@
   void pass(Lock& lock);
   PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
+  void keep_accelerators(PlanInput& in, double steady);
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
 
@@ -143,6 +144,10 @@
   std::mt19937_64 random_;
 
   std::vector<Plan::Unserved> unserved_;
+  struct Demand {
+    double machines = 0, at = 0;
+  };
+  std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
   std::vector<std::unique_ptr<HostDuty>> ended_duties_;
   struct Bounce {
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "coordination/controller.hpp"
 #include "coordination/preemption.hpp"
@@ -16,6 +17,7 @@
 constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
 constexpr double kDrainSlack = 1.0;
 constexpr double kUnlimited = 1e15;
+constexpr double kDemandMemory = 60.0;     // seconds over which the demand for accelerators fades
 }  // namespace
 
 void Controller::pass_duty(std::stop_token stop) {
@@ -94,6 +96,46 @@
   return out;
 }
 
+// Of each kind with accelerators, as many machines as their work has needed lately, and one more, are kept from
+// tasks that need none, but for the room this work leaves. Those that are the most free of such tasks already.
+void Controller::keep_accelerators(PlanInput& in, double steady) {
+  const Book& book = *term_->book;
+  std::map<KindIdx, double> needed;
+  for (JobIdx j : book.live()) {
+    const Job& job = book.job(j);
+    if (job.spec.need.accelerators <= 0 || job.ended()) continue;
+    std::map<KindIdx, double> units;
+    for (const auto& [task, p] : job.placed) units[book.host(p.host).kind] += 1;
+    if (job.waiting > 0) {
+      if (job.kinds.size() == 1) {
+        units[job.kinds.front()] += job.waiting;
+      } else {
+        for (const auto& f : book.flavors())
+          if (job.spec.need.fits(f.room)) units[book.kind_of(f.name)] += job.waiting;
+      }
+    }
+    for (const auto& [k, n] : units) {
+      const Flavor* f = book.flavor(k);
+      if (f && f->room.accelerators > 0) needed[k] += n * job.spec.need.accelerators / f->room.accelerators;
+    }
+  }
+  for (const auto& f : book.flavors()) {
+    if (f.room.accelerators <= 0) continue;
+    const KindIdx k = book.kind_of(f.name);
+    auto& demand = accelerator_demand_[k];
+    const double faded = demand.machines * std::exp(-(steady - demand.at) / kDemandMemory);
+    demand = {std::max(faded, needed[k]), steady};
+    if (demand.machines < 0.1) continue;
+    std::vector<PlanHost*> hosts;
+    for (auto& h : in.hosts)
+      if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);
+    std::stable_sort(hosts.begin(), hosts.end(),
+                     [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
+    const auto keep = static_cast<std::size_t>(std::ceil(demand.machines)) + 1;
+    for (std::size_t i = 0; i < hosts.size() && i < keep; ++i) hosts[i]->lending = PlanHost::Lending::kept;
+  }
+}
+
 PlanInput Controller::plan_input(double wall, double steady, const std::set<JobIdx>& within) {
   Book& book = *term_->book;
   PlanInput in;
@@ -114,7 +156,7 @@
     p.fetch_gb_per_s = flavor->fetch_gb_per_s;
     const Resources biggest = book.accelerator_need(host.kind);
     if (flavor->room.accelerators > 0 && biggest.accelerators > 0 && biggest.fits(flavor->room)) {
-      p.lends_all = false;
+      p.lending = PlanHost::Lending::not_to_services;
       p.lent = flavor->room;
       for (Resources left = flavor->room; biggest.fits(left); left -= biggest) p.lent -= biggest;
     }
@@ -130,7 +172,7 @@
         until = (at->running_at > 0 ? at->running_at : std::max(at->at, wall - 1)) + job.spec.expected_s;
       }
       p.occupants.push_back({job.spec.need, until});
-      if (until == kForever && job.spec.need.accelerators == 0) p.lent -= job.spec.need;
+      if (job.spec.need.accelerators == 0) p.lent -= job.spec.need;
     }
     // What the worker still holds and the book no longer places there is on its way out.
     for (const auto& s : host.pieces) {
@@ -142,6 +184,7 @@
     }
     in.hosts.push_back(std::move(p));
   }
+  keep_accelerators(in, steady);
   for (const auto& t : book.teams()) {
     TeamRoom room;
     room.left.cores = t.limit.cores > 0 ? t.limit.cores - t.used.cores : kUnlimited;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -89,11 +89,26 @@
   for (auto i = first; i < last; ++i) steps_[i].free -= amount;
 }
 
+bool borrows(const PlanJob& job, const PlanHost& host) {
+  if (job.need.accelerators > 0) return false;
+  return host.lending == PlanHost::Lending::kept || (host.lending == PlanHost::Lending::not_to_services && job.service);
+}
+
+bool may_run_on(const PlanJob& job, const PlanHost& host) {
+  if (host.loaner && !job.loaners) return false;
+  if (job.yard.valid() && host.zone != job.yard) return false;
+  if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end()) return false;
+  if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
+  if (borrows(job, host) && !job.need.fits(host.lent)) return false;
+  return job.need.fits(host.room);
+}
+
 namespace {
 
 class Planner {
  public:
   explicit Planner(PlanInput input) : in_(std::move(input)) {
+    held_.resize(in_.teams.size());
     profiles_.reserve(in_.hosts.size());
     for (const auto& h : in_.hosts) profiles_.emplace_back(h, in_.now, in_.overrun_s);
   }
@@ -113,16 +128,6 @@
   }
 
  private:
-  [[nodiscard]] bool allowed(const PlanJob& job, const PlanHost& host) const {
-    if (host.loaner && !job.loaners) return false;
-    if (job.yard.valid() && host.zone != job.yard) return false;
-    if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end())
-      return false;
-    if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
-    // A service never ends: on a machine with accelerators it would shut out the work that needs them.
-    if (job.service && job.need.accelerators == 0 && !host.lends_all && !job.need.fits(host.lent)) return false;
-    return job.need.fits(host.room);
-  }
   [[nodiscard]] double pull_s(const PlanJob& job, const PlanHost& host) const {
     if (std::find(host.images.begin(), host.images.end(), job.image) != host.images.end()) return 0;
     return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
@@ -130,12 +135,21 @@
   [[nodiscard]] double duration(const PlanJob& job, const PlanHost& host) const {
     return job.service ? kForever : pull_s(job, host) + job.run_s;
   }
-  [[nodiscard]] std::uint32_t team_units(const PlanJob& job) const {
-    if (!job.team.valid()) return job.units;
-    return std::min(job.units, whole_units(job.need, in_.teams[job.team.v].left));
+  // Units that the team's limit lets start now, and units that it lets hold a later slot. What is only held does not
+  // count against starts: a long queue of one job must not keep the team's next one from starting.
+  [[nodiscard]] std::uint32_t startable(const PlanJob& job) const {
+    return job.team.valid() ? whole_units(job.need, in_.teams[job.team.v].left) : UINT32_MAX;
   }
-  void charge(const PlanJob& job, std::uint32_t units) {
-    if (job.team.valid()) in_.teams[job.team.v].left -= job.need * units;
+  [[nodiscard]] std::uint32_t holdable(const PlanJob& job) const {
+    return job.team.valid() ? whole_units(job.need, in_.teams[job.team.v].left - held_[job.team.v]) : UINT32_MAX;
+  }
+  void charge(const PlanJob& job, std::uint32_t units, bool now) {
+    if (!job.team.valid()) return;
+    if (now) {
+      in_.teams[job.team.v].left -= job.need * units;
+    } else {
+      held_[job.team.v] += job.need * units;
+    }
   }
   static std::uint32_t& at(std::vector<std::uint32_t>& counts, std::size_t i) {
     if (counts.size() <= i) counts.resize(i + 1, 0);
@@ -162,14 +176,14 @@
   void record(PlanJob& job, std::size_t h, std::uint32_t units, double t) {
     const PlanHost& host = in_.hosts[h];
     profiles_[h].take(job.need * units, t, duration(job, host));
-    if (job.service && job.need.accelerators == 0) in_.hosts[h].lent -= job.need * units;
+    if (borrows(job, host)) in_.hosts[h].lent -= job.need * units;
     at(job.zone_used, host.zone.v) += units;
     at(job.host_used, h) += units;
     (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t});
   }
 
   void place_units(PlanJob& job) {
-    std::uint32_t left = team_units(job);
+    std::uint32_t left = std::min(job.units, startable(job));
     if (left == 0) return;
     struct Candidate {
       double t, cost;
@@ -184,7 +198,7 @@
       if (t < kForever) queue.push({t, cost(job, h), h});
     };
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
-      if (allowed(job, in_.hosts[h])) offer(h, in_.now);
+      if (may_run_on(job, in_.hosts[h])) offer(h, in_.now);
     Plan::Unserved unserved{job.job, 0, kForever};
     while (left > 0 && !queue.empty()) {
       const Candidate c = queue.top();
@@ -197,19 +211,21 @@
         continue;
       }
       const std::uint32_t used = at(job.zone_used, host.zone.v);
-      if (used >= job.zone_cap || !allowed(job, host)) continue;
+      if (used >= job.zone_cap || !may_run_on(job, host)) continue;
       if (job.one_zone && zone_taken(job, host.zone)) continue;
       std::uint32_t n = std::min(left, job.zone_cap - used);
       n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
       if (job.service) n = std::min(n, 1u);
-      if (n == 0) continue;
+      if (borrows(job, host)) n = std::min(n, whole_units(job.need, host.lent));
       const bool now = c.t <= in_.now;
+      n = std::min(n, now ? startable(job) : holdable(job));
+      if (n == 0) continue;
       if (!now) {
         unserved.earliest = std::min(unserved.earliest, c.t);
         if (plan_.holds.size() >= in_.most_holds) break;
       }
       record(job, c.h, n, c.t);
-      charge(job, n);
+      charge(job, n, now);
       left -= n;
       if (!now) unserved.units += n;
       offer(c.h, c.t);
@@ -226,10 +242,10 @@
 
   // All units at the first time when they fit together, in one zone where the job asks for it.
   void place_gang(PlanJob& job) {
-    if (team_units(job) < job.units) return;
+    if (startable(job) < job.units) return;
     std::vector<std::size_t> all;
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
-      if (allowed(job, in_.hosts[h])) all.push_back(h);
+      if (may_run_on(job, in_.hosts[h])) all.push_back(h);
     std::vector<std::vector<std::size_t>> sets;
     if (job.one_zone) {
       std::size_t zones = 0;
@@ -261,7 +277,7 @@
     if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best});
     if (best == kForever || (best > in_.now && plan_.holds.size() >= in_.most_holds)) return;
     for (auto [h, n] : chosen) record(job, h, n, best);
-    charge(job, job.units);
+    charge(job, job.units, best <= in_.now);
   }
 
   std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(PlanJob& job, std::vector<std::size_t> hosts, double t) {
@@ -288,6 +304,7 @@
 
   PlanInput in_;
   std::vector<Profile> profiles_;
+  std::vector<Resources> held_;
   Plan plan_;
 };
 
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -24,8 +24,10 @@
   };
   std::vector<Occupant> occupants;
   std::vector<ImageIdx> images;
-  Resources lent;       // what services without accelerators may still take here; see docs/design.md, exceptions
-  bool lends_all = true;
+  // Machines with accelerators lend room to tasks that need none: services take only what the accelerator work
+  // leaves (`lent`), and on machines kept for it so do all others. docs/design.md, exceptions.
+  enum class Lending { all, not_to_services, kept } lending = Lending::all;
+  Resources lent;
 };
 
 // The waiting units of a job; those of an array or a service are alike, so they are planned as one run.
@@ -82,6 +84,11 @@
   std::vector<Unserved> unserved;
 };
 
+// Whether the job's tasks may run there at all, whatever room is free now.
+bool may_run_on(const PlanJob& job, const PlanHost& host);
+// Whether what this job takes there counts against what the host lends.
+bool borrows(const PlanJob& job, const PlanHost& host);
+
 // A host's free room over time.
 class Profile {
  public:
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -84,17 +84,11 @@
   }
 
   bool allowed(const PlanJob& job, const PlanHost& host) {
-    if (host.loaner && !job.loaners) return false;
-    if (job.yard.valid() && host.zone != job.yard) return false;
-    if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), host.kind) == job.kinds.end())
-      return false;
-    if (std::find(job.avoid.begin(), job.avoid.end(), host.host) != job.avoid.end()) return false;
-    if (zone_count(host.zone) >= job.zone_cap) return false;
-    if (job.service && job.need.accelerators == 0 && !host.lends_all && !job.need.fits(host.lent)) return false;
+    if (!may_run_on(job, host) || zone_count(host.zone) >= job.zone_cap) return false;
     if (job.one_zone)
       for (std::size_t z = 0; z < zones_.size(); ++z)
         if (z != host.zone.v && zones_[z] > 0) return false;
-    return job.need.fits(host.room);
+    return true;
   }
 
   // The cheapest set of victims on one machine that lets one more unit in.
