--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -145,7 +145,7 @@
 
   std::vector<Plan::Unserved> unserved_;
   struct Demand {
-    double machines = 0, at = 0;
+    double machines = 0, at = 0, patience = 1e9;
   };
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -17,6 +17,7 @@
 constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
 constexpr double kDrainSlack = 1.0;
 constexpr double kUnlimited = 1e15;
+constexpr double kBorrowed = 60.0;          // about how long a task without accelerators runs
 constexpr double kDemandMemory = 60.0;     // seconds over which the demand for accelerators fades
 }  // namespace
 
@@ -96,11 +97,11 @@
   return out;
 }
 
-// Of each kind with accelerators, as many machines as their work has needed lately, and one more, are kept from
-// tasks that need none, but for the room this work leaves. Those that are the most free of such tasks already.
+// Of each kind with accelerators, as many machines as their work has needed lately, are kept from tasks that need none
+// (and one more where they are to start at once), but for the room this work leaves. Those that are the most free of such tasks already.
 void Controller::keep_accelerators(PlanInput& in, double steady) {
   const Book& book = *term_->book;
-  std::map<KindIdx, double> needed;
+  std::map<KindIdx, double> needed, patience;
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
     if (job.spec.need.accelerators <= 0 || job.ended()) continue;
@@ -114,6 +115,9 @@
           if (job.spec.need.fits(f.room)) units[book.kind_of(f.name)] += job.waiting;
       }
     }
+    for (const auto& o : settings_.objectives)
+      if (o.kind == "wait" && o.job_class == job.spec.job_class)
+        for (const auto& [k, n] : units) patience[k] = std::min(patience.try_emplace(k, o.within_s).first->second, o.within_s);
     for (const auto& [k, n] : units) {
       const Flavor* f = book.flavor(k);
       if (f && f->room.accelerators > 0) needed[k] += n * job.spec.need.accelerators / f->room.accelerators;
@@ -124,14 +128,17 @@
     const KindIdx k = book.kind_of(f.name);
     auto& demand = accelerator_demand_[k];
     const double faded = demand.machines * std::exp(-(steady - demand.at) / kDemandMemory);
-    demand = {std::max(faded, needed[k]), steady};
+    demand.machines = std::max(faded, needed[k]);
+    demand.at = steady;
+    if (auto it = patience.find(k); it != patience.end()) demand.patience = it->second;
     if (demand.machines < 0.1) continue;
     std::vector<PlanHost*> hosts;
     for (auto& h : in.hosts)
       if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);
     std::stable_sort(hosts.begin(), hosts.end(),
                      [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
-    const auto keep = static_cast<std::size_t>(std::ceil(demand.machines)) + 1;
+    // A spare one only where an aim leaves no time for tasks that borrowed it to end.
+    const auto keep = static_cast<std::size_t>(std::ceil(demand.machines)) + (demand.patience < kBorrowed ? 1 : 0);
     for (std::size_t i = 0; i < hosts.size() && i < keep; ++i) hosts[i]->lending = PlanHost::Lending::kept;
   }
 }
