--- a/src/coordination/tuning.hpp
+++ b/src/coordination/tuning.hpp
@@ -5,9 +5,9 @@
 
 struct Tuning {
   double weight = 0.1 / 3600;     // of a second waited, in the key
-  double pass_period_s = 0.25;    // least time between passes
+  double pass_period_s = 0.1;     // least time between passes
   double overrun_s = 5;            // an overrun counts as ending this long after the pass
-  unsigned hold_ms = 2500;        // life of the leader's hold
+  unsigned hold_ms = 1300;        // life of the leader's hold
   bool rent = true;               // rent machines for work that can't be served in time
 };
 
