--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kEstimateFloor = 10.0;
+constexpr double kShortestRun = 1.0;
 
 std::uint32_t whole_units(const Resources& need, const Resources& room) {
   double n = 1e6;
@@ -133,7 +134,8 @@
     return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
   }
   [[nodiscard]] double duration(const PlanJob& job, const PlanHost& host) const {
-    return job.service ? kForever : pull_s(job, host) + job.run_s;
+    // A claim of 0 s still takes room.
+    return job.service ? kForever : std::max(kShortestRun, pull_s(job, host) + job.run_s);
   }
   // Units that the team's limit lets start now, and units that it lets hold a later slot. What is only held does not
   // count against starts: a long queue of one job must not keep the team's next one from starting.
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -69,11 +69,15 @@
     return zones_[z.v];
   }
 
-  [[nodiscard]] bool may_stop(const PlanJob& claim, const Job& victim) const {
+  [[nodiscard]] bool may_stop(const PlanJob& claim, JobIdx v) const {
+    const Job& victim = book_.job(v);
     const Job& job = book_.job(claim.job);
     if (victim.spec.rank < job.spec.rank) return true;
     if (victim.spec.rank > job.spec.rank || victim.team == job.team || !victim.team.valid()) return false;
     if (!in_.within_guarantee.contains(claim.job)) return false;
+    // A job that lies within its own team's guarantee is no more beyond it because the team runs other work too:
+    // without this, replicas of two such teams stopped each other pass after pass (lienzo steady).
+    if (in_.within_guarantee.contains(v) || victim.spec.shape == Shape::service) return false;
     // Only what the other team has beyond its own guarantee, and only where that is what is wanted.
     const auto& team = book_.teams()[victim.team.v];
     const auto& excess = excess_[victim.team.v];
@@ -146,7 +150,7 @@
     std::set<JobIdx> gangs;
     for (const auto& ref : book_.host(h).placed) {
       const Job& victim = book_.job(ref.job);
-      if (taken_.contains(ref) || !may_stop(job, victim)) continue;
+      if (taken_.contains(ref) || !may_stop(job, ref.job)) continue;
       const auto it = victim.placed.find(ref.task);
       if (it == victim.placed.end() || it->second.stopping || it->second.closing) continue;
       Candidate c;
--- /dev/null
+++ b/tests/preemption_test.cpp
@@ -0,0 +1,83 @@
+// Preemption: who may be stopped for whom, and that nobody is stopped in turns.
+#include "coordination/preemption.hpp"
+
+#include <gtest/gtest.h>
+
+namespace thistle {
+namespace {
+
+// One machine of 4 cores; red and blue are guaranteed 2 each.
+class Preemption : public testing::Test {
+ protected:
+  Preemption() : book({{"red", {2, 0, 0}, {}, {}}, {"blue", {2, 0, 0}, {}, {}}}) {
+    Flavor f;
+    f.name = "big";
+    f.room = {4, 0, 32};
+    book.apply(FlavorsRecord{{f}});
+    book.describe(book.host_named("m-1"), "", "big", "x", false);
+  }
+  JobIdx add(const std::string& uid, const std::string& team, Shape shape, Rank rank, std::uint32_t pieces,
+             std::uint32_t placed) {
+    AcceptRecord r;
+    r.job.uid = uid;
+    r.job.owner = team;
+    r.job.shape = shape;
+    r.job.rank = rank;
+    r.job.pieces = pieces;
+    r.job.need = {1, 0, 1};
+    book.apply(r);
+    if (placed) book.apply(StartRecord{uid, 1, 0, {{"m-1", 1, {{0, placed}}}}});
+    return book.find(uid);
+  }
+  std::vector<Victim> claim(JobIdx j, const std::set<JobIdx>& within) {
+    PlanInput in;
+    in.now = 1000;
+    PlanHost h;
+    h.host = book.find_host("m-1");
+    h.kind = book.kind_of("big");
+    h.zone = book.zone_of("x");
+    h.room = {4, 0, 32};
+    for (const auto& ref : book.host(h.host).placed) h.occupants.push_back({book.job(ref.job).spec.need, kForever});
+    in.hosts.push_back(h);
+    PlanJob p;
+    p.job = j;
+    p.units = 1;
+    p.need = {1, 0, 1};
+    p.service = book.job(j).spec.shape == Shape::service;
+    p.team = book.job(j).team;
+    in.jobs.push_back(p);
+    in.teams.assign(2, TeamRoom{{1e9, 1e9, 1e9}});
+    const Plan plan = make_plan(in);
+    return choose_victims({book, in, plan, within, 1000});
+  }
+  Book book;
+};
+
+TEST_F(Preemption, ProductionStopsLowerRankButNeverItsEqual) {
+  const auto batch = add("j-1", "red", Shape::batch, Rank::standard, 3, 3);
+  add("j-2", "red", Shape::service, Rank::prod, 1, 1);
+  const auto victims = claim(add("j-3", "blue", Shape::service, Rank::prod, 1, 0), {});
+  ASSERT_EQ(victims.size(), 1u);
+  EXPECT_EQ(victims[0].ref.job, batch);
+  EXPECT_TRUE(claim(add("j-4", "blue", Shape::batch, Rank::standard, 1, 0), {}).empty());
+}
+
+TEST_F(Preemption, AGuaranteeStopsOnlyWhatAnotherTeamHasBeyondItsOwn) {
+  const auto beyond = add("j-1", "red", Shape::batch, Rank::standard, 4, 4);
+  const auto mine = add("j-2", "blue", Shape::batch, Rank::standard, 1, 0);
+  EXPECT_TRUE(claim(mine, {}).empty()) << "not within its guarantee";
+  const auto victims = claim(mine, {mine});
+  ASSERT_EQ(victims.size(), 1u);
+  EXPECT_EQ(victims[0].ref.job, beyond);
+  EXPECT_TRUE(claim(mine, {mine, beyond}).empty()) << "the other lies within its own guarantee";
+}
+
+// Lienzo steady: replicas of two teams, both within their guarantees, stopped each other ten times a second.
+TEST_F(Preemption, ReplicasOfEqualRankAreNeverStoppedForAGuarantee) {
+  add("j-1", "red", Shape::service, Rank::prod, 4, 4);
+  const auto mine = add("j-2", "blue", Shape::service, Rank::prod, 1, 0);
+  EXPECT_TRUE(claim(mine, {mine}).empty());
+}
+
+}  // namespace
+}  // namespace thistle
