--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -93,6 +93,7 @@
   Machine::Status status = Machine::Status::running;
   double held_s = 0, listed_at = 0;
   double idle_since = 0;         // steady seconds; 0: not idle
+  bool leaving = false;          // its release was asked for: nothing more is placed there
 
   [[nodiscard]] bool clean(std::uint64_t epoch) const {
     return in_flight_epoch == 0 && (doubt_epoch == 0 || epoch > doubt_epoch);
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -14,6 +14,13 @@
 constexpr double kFlavorsPeriod = 120.0;
 constexpr double kRefusedPause = 20.0;      // after "no capacity"
 constexpr double kBootFactor = 4.0;         // times bootS after which a machine is taken for dead
+constexpr std::size_t kMostReleased = 50;
+constexpr double kQuiet = 20.0;             // no work waits or runs, services aside, for this long
+constexpr double kIdleWhenQuiet = 20.0;
+constexpr double kIdleWhenBusy = 300.0;
+constexpr double kSilentReports = 2.5;
+constexpr double kSilentSlack = 1.0;
+constexpr double kProbeTimeout = 1.0;
 constexpr unsigned kPage = 500;
 constexpr unsigned kMostAtOnce = 4;
 }  // namespace
@@ -40,7 +47,8 @@
     if (leading && now - flavors_at > kFlavorsPeriod && learn_flavors(cloud)) flavors_at = now;
     if (leading && now - listed_at > std::max(1.0, settings_.list_lag_s / 2) && list_machines(cloud)) listed_at = now;
     if (deciding) {
-      release_dead(cloud);
+      release_silent(cloud);
+      release_machines(cloud);
       if (tuning_.rent) rent(cloud);
     }
     if (!pause_for(stop, std::max(0.5, 2.0 / settings_.cloud_rps))) return;
@@ -109,34 +117,103 @@
   return true;
 }
 
-void Controller::release_dead(HttpClient& cloud) {
-  std::vector<std::string> names;
+void Controller::release(HttpClient& cloud, const std::vector<std::string>& names, const char* why) {
+  if (names.empty()) return;
+  const auto r = cloud.post(kReleasePath, release_body(names), kCloudTimeout);
+  if (!r.ok()) return;
+  Lock lock(mutex_);
+  if (role_ != Role::leading) return;
+  for (const auto& name : names) {
+    const HostIdx h = term_->book->find_host(name);
+    if (!h.valid()) continue;
+    // An answered release: the machine and all on it are gone.
+    term_->book->host(h).gone = true;
+    spdlog::info("{}: released, {}", name, why);
+    auto records = clear_host(*term_->book, h);
+    if (!records.empty()) enqueue(std::move(records));
+  }
+}
+
+void Controller::release_machines(HttpClient& cloud) {
+  std::vector<std::string> dead, idle;
   {
     Lock lock(mutex_);
     if (!decisive()) return;
-    const Book& book = *term_->book;
+    Book& book = *term_->book;
+    const double now = steady_now();
+    // With no work about, a machine is returned soon; else it is kept a while, for boots and fetches take time.
+    const bool quiet = now - std::max(active_at_, term_->taken_over_at) > kQuiet;
+    const double idle_limit = quiet ? kIdleWhenQuiet : kIdleWhenBusy;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
-      const Host& host = book.host(HostIdx{i});
-      if (!host.listed || host.gone || names.size() >= 50) continue;
+      Host& host = book.host(HostIdx{i});
+      if (!host.listed || host.gone || dead.size() + idle.size() >= kMostReleased) continue;
       const Flavor* flavor = book.flavor(host.kind);
       const bool failed = host.status == Machine::Status::failed;
       const bool never_booted = !host.reported && host.status == Machine::Status::booting && flavor &&
                                 host.held_s > kBootFactor * flavor->boot_s;
-      if (failed || never_booted) names.push_back(host.name);
+      if (failed || never_booted) {
+        dead.push_back(host.name);
+        continue;
+      }
+      const bool unused = host.placed.empty() && !starting_.contains(HostIdx{i}) && host.idle_since > 0;
+      const bool wanted = !quiet && !unserved_.empty();
+      if (host.leaving || (unused && !wanted && now - host.idle_since > idle_limit)) {
+        host.leaving = true;
+        idle.push_back(host.name);
+      }
     }
   }
-  if (names.empty()) return;
-  const auto r = cloud.post(kReleasePath, release_body(names), kCloudTimeout);
-  if (!r.ok()) return;
-  Lock lock(mutex_);
-  if (role_ != Role::leading) return;
-  for (const auto& name : names) {
-    const HostIdx h = term_->book->find_host(name);
-    if (!h.valid()) continue;
-    term_->book->host(h).gone = true;
-    spdlog::info("{}: released", name);
-    enqueue(clear_host(*term_->book, h));
+  release(cloud, dead, "dead");
+  release(cloud, idle, "idle");
+}
+
+// A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
+// have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
+void Controller::release_silent(HttpClient& cloud) {
+  std::string name, address;
+  {
+    Lock lock(mutex_);
+    if (!decisive()) return;
+    Book& book = *term_->book;
+    const double now = steady_now();
+    // After a takeover, workers still find their way to this leader.
+    if (now - term_->taken_over_at < settings_.lease_s) return;
+    std::size_t silent = 0, heard = 0;
+    std::map<ZoneIdx, std::size_t> heard_in;
+    HostIdx found;
+    for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+      const Host& host = book.host(HostIdx{i});
+      if (!host.reported || host.gone || host.lost) continue;
+      if (now - host.reported_at < kSilentReports * settings_.report_s + kSilentSlack) {
+        ++heard;
+        ++heard_in[host.zone];
+        continue;
+      }
+      ++silent;
+      const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
+        return book.job(ref.job).spec.shape == Shape::service;
+      });
+      if (serves) found = HostIdx{i};
+    }
+    // Many at once, or all of a zone, tell of a cut and not of machines.
+    if (!found.valid() || silent > std::max<std::size_t>(1, heard / 10) || heard_in[book.host(found).zone] == 0) return;
+    name = book.host(found).name;
+    address = book.host(found).address;
+  }
+  HttpClient worker(address);
+  const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
+  if (r.ok()) {
+    try {
+      const auto report = parse_report(r.body);
+      Lock lock(mutex_);
+      if (role_ == Role::leading && report.host == name) absorb(report, false);
+      return;
+    } catch (const Malformed& e) {
+      spdlog::error("{}: malformed status: {}", name, e.what());
+      return;
+    }
   }
+  release(cloud, {name}, "silent");
 }
 
 void Controller::rent(HttpClient& cloud) {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -51,6 +51,7 @@
     std::string tail;                  // encoded records of the newest entry, joined by commas
     std::size_t entries = 0;           // kept since the last snapshot
     std::uint64_t first_entry = 0;
+    std::size_t snapshot_entries = 0;
   };
 
   // ---- requests (requests.cpp)
@@ -113,7 +114,10 @@
   bool learn_flavors(HttpClient& cloud);
   bool list_machines(HttpClient& cloud);
   void rent(HttpClient& cloud);
-  void release_dead(HttpClient& cloud);
+  void release_machines(HttpClient& cloud);
+  void release_silent(HttpClient& cloud);
+  void release(HttpClient& cloud, const std::vector<std::string>& names, const char* why);
+  void note_idle(double steady);
 
   Settings settings_;
   Tuning tuning_;
@@ -144,6 +148,8 @@
   std::mt19937_64 random_;
 
   std::vector<Plan::Unserved> unserved_;
+  std::set<HostIdx> starting_;  // a start there is on its way into the ledger
+  double active_at_ = 0;        // steady seconds: when work last waited or ended
   struct Demand {
     double machines = 0, at = 0, patience = 1e9;
   };
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -150,6 +150,7 @@
   accepting_.clear();
   early_answers_.clear();
   unserved_.clear();
+  starting_.clear();
   term_.reset();
   for (auto& [h, duty] : host_duties_) {
     duty->thread.request_stop();
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -14,7 +14,8 @@
 
 constexpr const char* kLedgerPrefix = "ledger/";
 constexpr double kWriteShare = 0.7;  // of the service's writes that the leader uses
-constexpr std::size_t kEntriesToSnapshot = 600;
+constexpr std::size_t kEntriesToSnapshot = 48;
+constexpr std::size_t kSnapshotFactor = 4;
 
 std::string entry_key(std::uint64_t n) {
   auto digits = std::to_string(n);
@@ -67,7 +68,10 @@
       if (term_->bump_wanted && !bump_epoch(store, stop, lock)) continue;
       if (term_number_ != number) break;
       if (!queue_.empty() && !commit(store, stop, lock)) continue;
-      if (term_number_ == number && term_->entries > kEntriesToSnapshot) snapshot(store, stop, lock);
+      // Written when the entries since the last one are several times what it would take.
+      if (term_number_ == number && term_->entries > kEntriesToSnapshot + kSnapshotFactor * term_->snapshot_entries &&
+          !snapshot(store, stop, lock))
+        continue;
     }
   }
 }
@@ -292,13 +296,87 @@
   return true;
 }
 
-// Entries before the snapshot's own go; the snapshot is itself written as entries, so that reading stays one pass
-// in order. Old entries are removed only after all of the snapshot is in place: replaying both is harmless.
+// The snapshot is itself written as entries, behind those that it replaces, so that reading stays one pass in order:
+// replaying an old entry before it is harmless. Only when all of it is in place do the old entries go, oldest first.
 bool Controller::snapshot(StoreClient& store, std::stop_token stop, Lock& lock) {
-  (void)store;
-  (void)stop;
-  (void)lock;
-  return true;
+  const auto number = term_number_;
+  const auto records = term_->book->records();
+  const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
+  const auto first_old = term_->first_entry, first_new = term_->next_entry;
+  auto next = first_new;
+  auto seq = term_->seq;
+  lock.unlock();
+  // Sends one transaction until its fate is known; false when it is not this leader's to make any more.
+  const auto send = [&](const std::string& body, std::size_t changes, const std::string& probe, std::uint64_t& stamp) {
+    pace_writes(changes, stop);
+    for (;;) {
+      std::vector<std::string> failed;
+      auto status = store.txn(body, stamp, failed);
+      if (status == StoreStatus::ok) return true;
+      if (status == StoreStatus::refused) return false;
+      if (status == StoreStatus::conflict) {
+        if (std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end()) return false;
+        Row row;
+        if (store.get(probe, row) == StoreStatus::ok && parse_entry(row.value).seq == seq) return true;
+        return false;
+      }
+      if (!pause_for(stop, 0.2)) return false;
+      Lock again(mutex_);
+      if (term_number_ != number) return false;
+    }
+  };
+  std::uint64_t epoch = 0, stamp = 0;
+  const auto current_epoch = [&] {
+    Lock again(mutex_);
+    return term_number_ == number ? term_->epoch : 0;
+  };
+  std::string text;
+  bool ok = true;
+  const auto flush = [&] {
+    if (text.empty()) return;
+    epoch = current_epoch();
+    ++seq;
+    ok = ok && epoch != 0 &&
+         send(txn_body({{kLeaderKey, epoch}, {entry_key(next), 0}}, {{entry_key(next), entry_value(seq, text), 0}}, {}),
+              1, entry_key(next), stamp);
+    ++next;
+    text.clear();
+  };
+  for (const auto& r : records) {
+    auto encoded = encode_record(r);
+    if (!text.empty() && text.size() + encoded.size() + 64 > value_limit) flush();
+    if (!ok) break;
+    if (!text.empty()) text += ',';
+    text += encoded;
+  }
+  if (ok) flush();
+  lock.lock();
+  if (term_number_ != number) return false;
+  if (!ok) {
+    if (!stop.stop_requested()) step_down(lock, "a snapshot could not be written");
+    return false;
+  }
+  term_->seq = seq;
+  term_->next_entry = next;
+  term_->tail.clear();
+  term_->tail_stamp = 0;
+  term_->first_entry = first_new;
+  term_->entries = term_->snapshot_entries = next - first_new;
+  lock.unlock();
+  const auto step = std::min<std::size_t>(settings_.txn_ops, 8);
+  for (auto n = first_old; n < first_new; n += step) {
+    std::vector<std::string> removes;
+    for (auto i = n; i < std::min<std::uint64_t>(n + step, first_new); ++i) removes.push_back(entry_key(i));
+    epoch = current_epoch();
+    if (epoch == 0) break;
+    pace_writes(removes.size(), stop);
+    std::vector<std::string> failed;
+    // Entries that stay behind do no harm; they are removed with the next snapshot's only if they are its own.
+    if (store.txn(txn_body({{kLeaderKey, epoch}}, {}, removes), stamp, failed) != StoreStatus::ok) break;
+  }
+  lock.lock();
+  spdlog::info("ledger snapshot: {} entries replace {}", next - first_new, first_new - first_old);
+  return term_number_ == number;
 }
 
 }  // namespace thistle
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -152,7 +152,7 @@
     const Host& host = book.host(HostIdx{i});
     const Flavor* flavor = book.flavor(host.kind);
     if (!flavor || !host.reported || host.lost || host.gone || host.set_aside) continue;
-    if (host.recall_at || host.no_room_until > steady) continue;
+    if (host.leaving || host.recall_at || host.no_room_until > steady) continue;
     if (steady - host.reported_at > kSilentReports * settings_.report_s + kDrainSlack) continue;
     PlanHost p;
     p.host = HostIdx{i};
@@ -217,6 +217,23 @@
   return in;
 }
 
+void Controller::note_idle(double steady) {
+  Book& book = *term_->book;
+  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+    Host& host = book.host(HostIdx{i});
+    const bool idle = host.placed.empty() && host.reported &&
+                      std::all_of(host.pieces.begin(), host.pieces.end(),
+                                  [](const SeenPiece& s) { return s.phase == Phase::exited; });
+    if (!idle) {
+      host.idle_since = 0;
+    } else if (host.idle_since == 0) {
+      host.idle_since = steady;
+    }
+  }
+  for (JobIdx j : book.live())
+    if (book.job(j).waiting > 0 || book.job(j).spec.shape != Shape::service) active_at_ = steady;
+}
+
 void Controller::pass(Lock& lock) {
   const double steady = steady_now(), wall = wall_now();
   const auto number = term_number_;
@@ -236,6 +253,7 @@
       for (const auto& [task, p] : book.job(j).placed)
         if (p.stopping) touched.insert(p.host);
   }
+  note_idle(steady);
   const auto within = within_guarantee();
   const auto input = plan_input(wall, steady, within);
   auto plan = make_plan(input);
@@ -278,10 +296,12 @@
         for (const auto& range : part.tasks) counters_.started += range.last - range.first;
       records.emplace_back(std::move(r));
     }
+    for (const auto& slot : plan.starts) starting_.insert(slot.host);
     const auto ticket = enqueue(std::move(records));
     // Nothing starts, and no other pass is made, until it is certain that the ledger has it.
     while (!wait_applied(lock, ticket, kStartWait))
       if (term_number_ != number) return;
+    starting_.clear();
     if (!decisive()) return;  // the reports' answers carry the starts once leadership is certain again
   }
   for (auto h : touched) poke(h);
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -168,7 +168,7 @@
     if (job.loaners && host.loaner) c -= 2;
     if (job.service) {
       // Replicas of one job in different places, so that a lost machine or zone takes few of them.
-      c += 40.0 * at(job.host_used, h) + 20.0 * at(job.zone_used, host.zone.v);
+      c += 4.0 * at(job.host_used, h) + 2.0 * at(job.zone_used, host.zone.v);
     }
     // Among equals the fuller machine, so that whole machines stay free.
     const auto& free = profiles_[h].steps().front().free;
