--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -259,7 +259,10 @@
   auto plan = make_plan(input);
   unserved_ = plan.unserved;
   // What is stopped here makes room that later passes give out, highest tier first.
-  for (const auto& v : choose_victims({book, input, plan, within, wall})) {
+  std::set<std::string> starts_count;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait") starts_count.insert(o.job_class);
+  for (const auto& v : choose_victims({book, input, plan, within, wall, starts_count})) {
     Placement* p = book.placement(v.ref);
     stop_task(*p, v.wind_down_s);
     touched.insert(p->host);
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -19,11 +19,11 @@
 };
 
 // Seconds of work that stopping this task loses.
-double lost_by(const Job& job, const Placement& p, double wall) {
+double lost_by(const Job& job, const Placement& p, double wall, const std::set<std::string>& starts_count) {
   if (job.spec.shape == Shape::service) return kServiceLoss;
   double ran = p.running_at > 0 ? std::max(0.0, wall - p.running_at) : 0;
   if (job.spec.snapshot_every_s > 0) ran = std::min(ran, job.spec.snapshot_s);
-  return (ran + (wall - p.at < kFreshStart ? kFreshStart : 0)) * std::max(job.spec.need.cores, 0.1);
+  return (ran + (wall - p.at < kFreshStart && starts_count.contains(job.spec.job_class) ? kFreshStart : 0)) * std::max(job.spec.need.cores, 0.1);
 }
 
 class Chooser {
@@ -160,12 +160,12 @@
         for (const auto& [task, p] : victim.placed) {
           c.refs.push_back({ref.job, task});
           if (p.host == h) c.here += victim.spec.need;
-          c.lost += lost_by(victim, p, in_.wall);
+          c.lost += lost_by(victim, p, in_.wall, in_.starts_count);
         }
       } else {
         c.refs.push_back(ref);
         c.here = victim.spec.need;
-        c.lost = lost_by(victim, it->second, in_.wall);
+        c.lost = lost_by(victim, it->second, in_.wall, in_.starts_count);
       }
       out.push_back(std::move(c));
     }
--- a/src/coordination/preemption.hpp
+++ b/src/coordination/preemption.hpp
@@ -19,6 +19,7 @@
   const Plan& plan;
   const std::set<JobIdx>& within_guarantee;
   double wall = 0;
+  std::set<std::string> starts_count;  // job classes with an aim for their wait
   double patience_s = 2;  // a slot held no later than this is waited for
 };
 
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -48,7 +48,7 @@
     in.jobs.push_back(p);
     in.teams.assign(2, TeamRoom{{1e9, 1e9, 1e9}});
     const Plan plan = make_plan(in);
-    return choose_victims({book, in, plan, within, 1000});
+    return choose_victims({book, in, plan, within, 1000, {}});
   }
   Book book;
 };
