--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -45,6 +45,7 @@
     double taken_over_at = 0;
     double peers_acked_at = -1;
     bool bump_wanted = false;
+    double bumped_at = 0;
     std::unique_ptr<Book> book;        // set when recovered
     // The ledger's tail, as the committer knows it
     std::uint64_t next_entry = 0, seq = 0, tail_stamp = 0;
@@ -72,6 +73,8 @@
   void lead(StoreClient& store, std::stop_token stop);
   void peer_duty(std::stop_token stop, std::size_t peer);
   void learn(std::uint64_t epoch, const std::string& label);
+  // Cut off from its peers and from most workers, though not from the state service: another serves better.
+  bool isolated() const;
   void step_down(Lock& lock, const char* why);
   // Leads for certain at this moment: may decide, and may tell users what the book says.
   bool decisive() const;
@@ -127,7 +130,7 @@
   Role role_ = Role::follower;
   std::uint64_t term_number_ = 0;  // counts terms of this process; threads of an old one leave
   std::unique_ptr<Term> term_;
-  std::uint64_t known_epoch_ = 0;
+  std::uint64_t known_epoch_ = 0, known_takeover_ = UINT64_MAX;
   std::string known_leader_;
   double follower_since_ = 0, last_beat_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
@@ -156,10 +159,10 @@
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
   std::vector<std::unique_ptr<HostDuty>> ended_duties_;
-  struct Bounce {
-    double redirected_at = -1e9, forward_until = -1e9;
+  struct Bounce {  // steady seconds
+    double redirected_at = -1e9, forward_until = 0;
   };
-  std::unordered_map<std::string, Bounce> bounces_;
+  std::unordered_map<std::string, Bounce> bounces_;  // by worker
   // Reports answered while the ledger was still being read: their leases count from then.
   std::unordered_map<std::string, double> early_answers_;
   std::map<std::string, double> refused_rentals_;  // kind/zone/market -> steady time to try again
@@ -170,6 +173,7 @@
     std::unique_ptr<FramePool> calls;  // users' requests and reports, when the peer leads
     std::unique_ptr<FramePool> beats;
     std::uint64_t acked_epoch = 0;
+    double answered_at = 0;  // steady seconds
   };
   std::vector<PeerLink> links_;
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -14,6 +14,8 @@
 constexpr double kValidMargin = 0.05;
 constexpr double kBeatPeriod = 0.5;
 constexpr unsigned kFollowMs = 10000;
+constexpr double kPeersLost = 3.0;    // no peer has answered for this long
+constexpr double kStandBack = 4.0;    // before it tries to lead again
 }  // namespace
 
 void Controller::leadership_duty(std::stop_token stop) {
@@ -119,6 +121,13 @@
     if (term_number_ != number || role_ == Role::follower) break;
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
+      if (isolated()) {
+        step_down(lock, "cut off from its peers and most workers");
+        lock.unlock();
+        store.drop(hold);
+        pause_for(stop, kStandBack);
+        break;
+      }
       if (uncertain) {
         spdlog::info("leadership is certain again");
         want_pass();
@@ -140,6 +149,20 @@
   }
 }
 
+bool Controller::isolated() const {
+  const double now = steady_now();
+  if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s) return false;
+  for (const auto& link : links_)
+    if (now - link.answered_at < kPeersLost) return false;
+  std::size_t heard = 0, silent = 0;
+  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
+    const Host& host = term_->book->host(HostIdx{i});
+    if (!host.reported || host.gone || host.lost) continue;
+    ++(now - host.reported_at < kPeersLost + settings_.report_s ? heard : silent);
+  }
+  return silent > heard;
+}
+
 void Controller::step_down(Lock&, const char* why) {
   if (role_ == Role::follower) return;
   spdlog::info("no longer leader (epoch {}): {}", term_->epoch, why);
@@ -169,6 +192,8 @@
 void Controller::learn(std::uint64_t epoch, const std::string& label) {
   if (epoch < known_epoch_) return;
   if (epoch > known_epoch_ || known_leader_.empty()) {
+    // Until the leader says when it took over, only a raised epoch of the same leader leaves that as it was.
+    if (label != known_leader_) known_takeover_ = epoch;
     if (label != known_leader_ && !label.empty()) spdlog::info("leader is {}, epoch {}", label, epoch);
     known_epoch_ = epoch;
     known_leader_ = label;
@@ -184,7 +209,7 @@
       Lock lock(mutex_);
       role_changed_.wait(lock, stop, [&] { return role_ != Role::follower; });
       if (stop.stop_requested()) return;
-      beat = {settings_.label, term_->epoch};
+      beat = {settings_.label, term_->epoch, term_->takeover_epoch};
     }
     const auto answer = link.beats->ask(pack(beat), 1.0);
     const auto ack = answer ? unpack_ack(*answer) : std::nullopt;
@@ -200,6 +225,7 @@
       step_down(lock, "a peer knows of a higher epoch");
       continue;
     }
+    link.answered_at = steady_now();
     link.acked_epoch = std::max(link.acked_epoch, ack->epoch);
     if (term_->peers_acked_at < 0) {
       const bool all = std::all_of(links_.begin(), links_.end(),
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -291,6 +291,7 @@
   if (status != StoreStatus::ok) return false;
   term_->epoch = epoch;
   term_->bump_wanted = false;
+  term_->bumped_at = steady_now();
   learn(epoch, settings_.label);
   spdlog::info("epoch raised to {} to fence commands in doubt", epoch);
   return true;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -16,6 +16,7 @@
 constexpr double kStartWait = 30.0;
 constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
 constexpr double kDrainSlack = 1.0;
+constexpr double kBumpPeriod = 1.0;
 constexpr double kUnlimited = 1e15;
 constexpr double kBorrowed = 60.0;          // about how long a task without accelerators runs
 constexpr double kDemandMemory = 60.0;     // seconds over which the demand for accelerators fades
@@ -247,6 +248,16 @@
     spdlog::info("{}: its lease is over, {} tasks are off it", host.name, host.placed.size());
     enqueue(clear_host(book, HostIdx{i}));
   }
+  // Starts in doubt are fenced by a higher epoch, one for all that came to be in doubt within a second.
+  const bool doubt = [&] {
+    for (std::uint32_t i = 0; i < book.host_count(); ++i)
+      if (!book.host(HostIdx{i}).lost && book.host(HostIdx{i}).doubt_epoch >= term_->epoch) return true;
+    return false;
+  }();
+  if (doubt && steady - term_->bumped_at > kBumpPeriod) {
+    term_->bump_wanted = true;
+    queue_filled_.notify_all();
+  }
   std::set<HostIdx> touched;
   if (stop_broken_gangs(book)) {
     for (JobIdx j : book.live())
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -15,8 +15,8 @@
 constexpr int kRetryAfter = 1;
 constexpr double kBeatFresh = 3.0;
 constexpr double kLeaderlessGrace = 6.0;
-constexpr double kBounceWindow = 12.0;    // back within this time of a redirect: the worker can't reach the leader
-constexpr double kForwardWindow = 20.0;
+constexpr double kBounceWindow = 12.0;
+constexpr double kForwardWindow = 30.0;   // then the worker is sent to the leader once more
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
 
@@ -42,6 +42,7 @@
     Lock lock(mutex_);
     if (beat->epoch >= known_epoch_) {
       last_beat_ = steady_now();
+      known_takeover_ = beat->takeover;
       if (role_ != Role::follower && beat->epoch > term_->epoch) {
         learn(beat->epoch, beat->label);
         step_down(lock, "another leader has a higher epoch");
@@ -203,29 +204,31 @@
     known_leader_.clear();
   }
   if (role_ == Role::follower) {
-    if (forwarded || known_leader_.empty() || known_leader_ == settings_.label || report.epoch > known_epoch_)
+    if (forwarded || known_leader_.empty() || known_leader_ == settings_.label)
       return {421, steward_body("")};
+    // A worker that has seen an epoch of the present leader's was with it and left it, or comes back soon after it was
+    // sent there: it can't reach the leader. Sent back once more, it would wait there for its time limit again, and
+    // its lease could run out on the way.
     auto& bounce = bounces_[report.host];
-    const bool back = now - bounce.redirected_at < kBounceWindow;
-    if (!back && now >= bounce.forward_until) {
-      bounce.redirected_at = now;
-      return {421, steward_body(known_leader_)};
+    const bool left_leader = report.epoch >= known_takeover_ || now - bounce.redirected_at < kBounceWindow;
+    if (now >= bounce.forward_until) {
+      if (!left_leader || bounce.forward_until > 0) {
+        bounce = {now, 0};
+        return {421, steward_body(known_leader_)};
+      }
+      bounce = {-1e9, now + kForwardWindow};
     }
-    if (back) bounce.forward_until = now + kForwardWindow;
-    bounce.redirected_at = -1e9;
     FramePool* pool = nullptr;
     for (auto& link : links_)
       if (link.peer.label == known_leader_) pool = link.calls.get();
     const std::string steward = known_leader_;
-    const auto epoch = known_epoch_;
     lock.unlock();
     if (pool) {
       const auto answer = pool->ask(pack(PeerCall{"POST", "/v1/report", std::string(body)}), kReportTimeout);
       auto reply = answer ? unpack_reply(*answer) : std::nullopt;
       lock.lock();
-      // Not under an epoch older than one this controller has confirmed to a later leader.
-      if (reply && reply->status == 200 && known_epoch_ == epoch) return *reply;
-      if (!reply) bounces_[report.host].forward_until = 0;
+      // Not if a later leader was confirmed meanwhile: nothing is answered under an older epoch from then on.
+      if (reply && reply->status == 200 && known_leader_ == steward) return *reply;
     }
     return {421, steward_body("")};
   }
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -77,8 +77,7 @@
     if (starts && result.delivery == Delivery::in_doubt) {
       // It may be executed much later. Until the worker has seen a higher epoch, nothing is concluded there.
       again.doubt_epoch = std::max(again.doubt_epoch, epoch);
-      term_->bump_wanted = true;
-      queue_filled_.notify_all();
+      want_pass();
       spdlog::debug("{}: a start is in doubt", again.name);
     }
     if (!understood) {
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -9,7 +9,7 @@
 
 Frame pack(const Beat& beat) {
   Packer p;
-  p.integer(beat.epoch).text(beat.label);
+  p.integer(beat.epoch).integer(beat.takeover).text(beat.label);
   return frame_of(PeerKind::beat, p);
 }
 Frame pack(const BeatAck& ack) {
@@ -34,6 +34,7 @@
   Unpacker u(frame.payload);
   Beat beat;
   beat.epoch = u.integer<std::uint64_t>();
+  beat.takeover = u.integer<std::uint64_t>();
   beat.label = u.text();
   if (!is(frame, PeerKind::beat) || !u.done()) return std::nullopt;
   return beat;
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -18,7 +18,7 @@
 
 struct Beat {
   std::string label;
-  std::uint64_t epoch = 0;
+  std::uint64_t epoch = 0, takeover = 0;  // now, and when it took over
 };
 struct BeatAck {
   std::uint64_t epoch = 0;
