A new tenure has a whole lease; randomised safety test

The test fails when this guard or the peers' acknowledgements are removed; removing the other guards it does not catch with its seeds, those have tests of their own.

--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -74,7 +74,8 @@
   bool reported = false;         // has reported to this leader
   double reported_at = 0;        // steady seconds
   double answered_at = 0;        // steady seconds: the latest report of it that this leader answered
-  double fenced_at = 0;          // steady seconds: when it was first known to have seen this leader's epoch
+  // Steady seconds: when it, in its present tenure, was first known to have seen this leader's epoch.
+  double fenced_at = 0;
   bool lost = false;             // its lease is over; not used until it reports again
   bool gone = false;             // released or taken: it does not come back
   std::optional<double> recall_at;  // steady seconds
--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -85,7 +85,8 @@
   if (!host.reported || host.lost) out.changed = true;
   book.describe(h, report.address, report.kind, report.yard, report.loaner);
   Ends ends;
-  if (report.tenure > host.tenure) {
+  const bool new_tenure = report.tenure > host.tenure;
+  if (new_tenure) {
     // A later tenure: the worker forgot all it held, and commands of the earlier one are refused.
     for (const auto& ref : host.placed) {
       Placement* p = book.placement(ref);
@@ -100,7 +101,9 @@
   host.tenure = report.tenure;
   host.serial = report.serial;
   host.epoch_seen = std::max(host.epoch_seen, report.epoch);
-  if (host.fenced_at == 0 && host.epoch_seen >= fence_epoch) host.fenced_at = now.steady;
+  // A session's own lease runs from its beginning, without any answer of ours: after a tenure change it counts from
+  // when the new session is first heard of, or a task started in it could be given up while it runs.
+  if ((host.fenced_at == 0 || new_tenure) && host.epoch_seen >= fence_epoch) host.fenced_at = now.steady;
   host.reported = true;
   host.lost = false;
   host.reported_at = now.steady;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -318,8 +318,12 @@
       if (status == StoreStatus::conflict) {
         if (std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end()) return false;
         Row row;
-        if (store.get(probe, row) == StoreStatus::ok && parse_entry(row.value).seq == seq) return true;
-        return false;
+        try {
+          return store.get(probe, row) == StoreStatus::ok && parse_entry(row.value).seq == seq;
+        } catch (const Malformed& e) {
+          spdlog::error("ledger entry {}: {}", probe, e.what());
+          return false;
+        }
       }
       if (!pause_for(stop, 0.2)) return false;
       Lock again(mutex_);
@@ -327,9 +331,11 @@
     }
   };
   std::uint64_t epoch = 0, stamp = 0;
-  const auto current_epoch = [&] {
-    Lock again(mutex_);
-    return term_number_ == number ? term_->epoch : 0;
+  // 0 when this leader's term is over
+  const auto current_epoch = [&]() -> std::uint64_t {
+    const std::lock_guard again(mutex_);
+    if (term_number_ != number || !term_) return 0;
+    return term_->epoch;
   };
   std::string text;
   bool ok = true;
@@ -337,10 +343,10 @@
     if (text.empty()) return;
     epoch = current_epoch();
     ++seq;
-    ok = ok && epoch != 0 &&
-         send(txn_body({{kLeaderKey, epoch}, {entry_key(next), 0}}, {{entry_key(next), entry_value(seq, text), 0}}, {}),
-              1, entry_key(next), stamp);
-    ++next;
+    const auto key = entry_key(next++);
+    const std::vector<Condition> conditions{{kLeaderKey, epoch}, {key, 0}};
+    const std::vector<Put> puts{{key, entry_value(seq, text), 0}};
+    if (epoch == 0 || !send(txn_body(conditions, puts, {}), 1, key, stamp)) ok = false;
     text.clear();
   };
   for (const auto& r : records) {
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -164,6 +164,17 @@
   EXPECT_TRUE(lease_over(host, fencing, 10, 111));
 }
 
+// Found by the randomised test: a worker's new session lives for a whole lease without any answer.
+TEST_F(Dealings, ANewTenureHasAWholeLeaseFromWhenItIsHeardOf) {
+  report({});
+  host().answered_at = 100;
+  steady = 109;
+  report({}, false, kEpoch, 2);
+  const Fencing fencing{kEpoch, 50, 50};
+  EXPECT_FALSE(lease_over(host(), fencing, 10, 112));
+  EXPECT_TRUE(lease_over(host(), fencing, 10, 120));
+}
+
 TEST(Lease, OfASilentWorkerIsNotOverWhileAPeerMayStillAnswerIt) {
   Host host;
   Fencing fencing{kEpoch, 100, -1};
--- /dev/null
+++ b/tests/safety_test.cpp
@@ -0,0 +1,373 @@
+// Randomised safety: the book and the dealings with workers against in-memory workers and a network that delays,
+// drops, duplicates and reorders, with leaders killed, deposed leaders that still answer reports, and machines that
+// hang. What the workers really do is checked here, independently of the code under test. Seeds are fixed and printed.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "coordination/dealings.hpp"
+
+namespace thistle {
+namespace {
+
+constexpr double kLease = 8, kReport = 1, kAnswerLife = 4, kCancel = 15, kStep = 0.05;
+constexpr double kTeamLimit = 10;
+
+struct Event {
+  double at;
+  std::uint64_t order;
+  std::function<void()> run;
+  bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+};
+
+class Day {
+ public:
+  explicit Day(std::uint64_t seed) : random_(seed) {
+    for (int i = 0; i < 5; ++i) workers_.emplace_back().name = "m-" + std::to_string(i);
+    leader_ = std::make_unique<Leader>(*this, ++epoch_, false);
+    for (int i = 0; i < 12; ++i) at(uniform(0, 60), [this, i] { submit(i); });
+  }
+
+  void play(double until) {
+    double next_kill = uniform(8, 25), next_hang = uniform(5, 20);
+    for (now_ = 0; now_ < until; now_ += kStep) {
+      while (!events_.empty() && events_.top().at <= now_) {
+        auto run = events_.top().run;
+        events_.pop();
+        run();
+      }
+      for (auto& w : workers_) tend(w);
+      leader_->tend();
+      // In the last part of the day nothing fails any more, so that all that was accepted can end.
+      if (now_ > until - 120) continue;
+      if (now_ > next_kill) {
+        next_kill = now_ + uniform(8, 30);
+        const bool lingers = uniform(0, 1) < 0.5;
+        if (lingers) {
+          // Refused by the state service alone: it decides nothing more and answers reports until it learns.
+          old_epoch_ = leader_->epoch;
+          old_until_ = std::max(old_until_, now_ + uniform(0, 25));
+        }
+        leader_ = std::make_unique<Leader>(*this, epoch_ += 1, lingers);
+      }
+      if (now_ > next_hang) {
+        next_hang = now_ + uniform(5, 25);
+        workers_[random_() % workers_.size()].hangs_until = now_ + uniform(1, 20);
+      }
+    }
+  }
+
+  std::vector<std::string> broken;
+  std::size_t runs = 0, leaders = 1;
+
+  [[nodiscard]] bool all_ended() const {
+    for (const auto& [uid, pieces] : submitted_) {
+      const JobIdx j = leader_->book.find(uid);
+      if (!j.valid() || !leader_->book.job(j).ended()) return false;
+    }
+    return !submitted_.empty();
+  }
+
+ private:
+  struct Piece {
+    Phase phase = Phase::running;
+    Cause cause = Cause::none;
+    double ends = 0;
+  };
+  struct Worker {
+    std::string name;
+    std::uint64_t tenure = 1, serial = 0, epoch = 0, awaited = 0;
+    double answered_sent = 0, next_report = 0, give_up = -1, hangs_until = 0;
+    std::map<std::tuple<std::string, std::uint32_t, std::uint64_t>, Piece> pieces;
+    std::deque<std::function<void()>> held;  // what came while it hung
+  };
+
+  struct Leader {
+    Leader(Day& d, std::uint64_t e, bool old_lingers)
+        : day(d), book({{"red", {}, {kTeamLimit, 0, 0}, {}}}), epoch(e), takeover(e), taken_at(d.now_) {
+      for (const auto& r : d.ledger_) book.apply(r);
+      acked_at = old_lingers || d.now_ < d.old_until_ ? -1 : d.now_;
+      ++d.leaders;
+    }
+    void record(std::vector<Record> records) {
+      for (auto& r : records) {
+        book.apply(r);
+        day.ledger_.push_back(std::move(r));
+      }
+    }
+    void tend() {
+      if (acked_at < 0 && day.now_ >= day.old_until_) acked_at = day.now_;
+      if (day.now_ < next_pass) return;
+      next_pass = day.now_ + 0.3;
+      const Fencing fencing{takeover, taken_at, acked_at};
+      std::vector<Record> records;
+      bool doubt = false;
+      for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+        Host& host = book.host(HostIdx{i});
+        doubt = doubt || (!host.lost && host.doubt_epoch >= epoch);
+        if (host.lost || !lease_over(host, fencing, kLease, day.now_)) continue;
+        host.lost = true;
+        for (auto& r : clear_host(book, HostIdx{i})) records.push_back(std::move(r));
+      }
+      record(std::move(records));
+      if (doubt) epoch = day.epoch_ += 1;
+      stop_broken_gangs(book);
+      start();
+      for (std::uint32_t i = 0; i < book.host_count(); ++i) command(HostIdx{i});
+    }
+    // First fit, within the team's limit; the planner has tests of its own.
+    void start() {
+      for (JobIdx j : std::vector<JobIdx>(book.live())) {
+        const Job& job = book.job(j);
+        if (job.ended() || job.waiting == 0) continue;
+        if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
+        StartRecord r{job.uid, job.attempts + 1, day.now_, {}};
+        std::map<std::uint32_t, double> taken;
+        const std::uint32_t waiting = job.waiting;
+        double room = kTeamLimit - book.teams()[0].used.cores;
+        std::uint32_t placed = 0;
+        for (std::uint32_t t = 0; t < job.tasks.size(); ++t) {
+          if (job.tasks[t] != TaskState::waiting || room < 1) continue;
+          for (std::uint32_t k = 0; k < book.host_count(); ++k) {
+            const std::uint32_t i = (k + t + static_cast<std::uint32_t>(r.attempt)) % book.host_count();
+            const Host& host = book.host(HostIdx{i});
+            if (!host.reported || host.lost || host.used.cores + taken[i] >= 4) continue;
+            taken[i] += 1;
+            room -= 1;
+            ++placed;
+            r.parts.push_back({host.name, host.tenure, {{t, t + 1}}});
+            break;
+          }
+        }
+        if (r.parts.empty() || (job.spec.shape == Shape::group && placed < waiting)) continue;
+        record({r});
+      }
+    }
+    void command(HostIdx h) {
+      Host& host = book.host(h);
+      const auto orders = orders_for(book, h, takeover);
+      if (orders.empty() || host.in_flight_epoch != 0 || day.now_ < not_before[h.v]) return;
+      bool starts = false;
+      for (const auto& o : orders) starts = starts || o.verb == Verb::run;
+      if (starts) host.in_flight_epoch = epoch;
+      not_before[h.v] = day.now_ + 0.2;
+      day.send_commands(host.name, epoch, host.tenure, orders, starts);
+    }
+    Day& day;
+    Book book;
+    std::uint64_t epoch, takeover;
+    double taken_at, acked_at = -1, next_pass = 0;
+    std::map<std::uint32_t, double> not_before;
+  };
+
+  double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random_); }
+  void at(double t, std::function<void()> run) { events_.push({t, ++order_, std::move(run)}); }
+  double delay() { return uniform(0, 1) < 0.06 ? uniform(1, 25) : uniform(0.01, 0.1); }
+  bool dropped() { return uniform(0, 1) < 0.05; }
+
+  void submit(int i) {
+    AcceptRecord r;
+    r.job.uid = "j-" + std::to_string(i);
+    r.job.owner = "red";
+    r.job.job_class = "c";
+    r.job.bundle = "i";
+    r.job.shape = i % 4 == 3 ? Shape::group : Shape::batch;
+    r.job.pieces = r.job.shape == Shape::group ? 2 : 4;
+    r.job.need = {1, 0, 1};
+    submitted_[r.job.uid] = r.job.pieces;
+    leader_->record({r});
+    if (i % 3 == 2) {
+      at(now_ + uniform(1, 30), [this, uid = r.job.uid] {
+        const JobIdx j = leader_->book.find(uid);
+        if (leader_->book.job(j).status == JobStatus::done) return;
+        leader_->record({CancelRecord{uid}});
+        cancelled_[uid] = now_;
+      });
+    }
+  }
+
+  Report report_of(Worker& w) {
+    Report r{w.name, "a", "big", "x", false, w.tenure, ++w.serial, w.epoch, std::nullopt, {}};
+    for (const auto& [key, p] : w.pieces)
+      r.pieces.push_back({{std::get<0>(key), std::get<1>(key)}, std::get<2>(key), p.phase, p.cause, false});
+    return r;
+  }
+
+  void tend(Worker& w) {
+    if (now_ < w.hangs_until) return;
+    if (now_ - w.answered_sent > kLease) {
+      w.pieces.clear();
+      ++w.tenure;
+      w.answered_sent = now_;
+      w.awaited = 0;
+      w.next_report = now_;
+    }
+    while (!w.held.empty()) {
+      auto run = w.held.front();
+      w.held.pop_front();
+      run();
+    }
+    for (auto& [key, p] : w.pieces) {
+      if (p.phase != Phase::running || now_ < p.ends) continue;
+      p.phase = Phase::exited;
+      p.cause = uniform(0, 1) < 0.1 ? Cause::error : Cause::done;
+      if (p.cause == Cause::done) finished_.insert({std::get<0>(key), std::get<1>(key)});
+    }
+    if (w.awaited != 0 && now_ > w.give_up) w.awaited = 0;
+    if (w.awaited == 0 && now_ >= w.next_report) send_report(w);
+    check(w);
+  }
+
+  void send_report(Worker& w) {
+    const Report r = report_of(w);
+    const double sent = now_;
+    w.awaited = r.serial;
+    w.give_up = now_ + kAnswerLife;
+    w.next_report = now_ + uniform(0.75, 1.25) * kReport;
+    const bool to_old = now_ < old_until_ && uniform(0, 1) < 0.6;
+    for (int copy = uniform(0, 1) < 0.05 ? 0 : 1; copy < 2; ++copy) {
+      if (dropped()) continue;
+      at(now_ + delay(), [this, &w, r, sent, to_old] {
+        std::vector<Order> orders;
+        std::uint64_t epoch = 0;
+        if (to_old) {
+          if (now_ >= old_until_) return;
+          epoch = old_epoch_;
+        } else {
+          auto outcome = take_report(leader_->book, r, {now_, now_}, true, leader_->takeover);
+          Host& host = leader_->book.host(leader_->book.find_host(r.host));
+          host.answered_at = std::max(host.answered_at, now_);
+          leader_->record(std::move(outcome.records));
+          if (host.tenure == r.tenure && host.serial == r.serial)
+            orders = orders_for(leader_->book, leader_->book.find_host(r.host), leader_->takeover);
+          epoch = leader_->epoch;
+        }
+        if (dropped()) return;
+        at(now_ + delay(), [this, &w, r, sent, epoch, orders] {
+          if (now_ < w.hangs_until || w.tenure != r.tenure || w.awaited != r.serial || epoch < w.epoch ||
+              now_ - sent > kAnswerLife)
+            return;
+          w.awaited = 0;
+          w.epoch = epoch;
+          w.answered_sent = std::max(w.answered_sent, sent);
+          execute(w, orders);
+        });
+      });
+    }
+  }
+
+  void send_commands(const std::string& name, std::uint64_t epoch, std::uint64_t tenure,
+                     const std::vector<Order>& orders, bool starts) {
+    Worker& w = *std::find_if(workers_.begin(), workers_.end(), [&](auto& x) { return x.name == name; });
+    const auto term = leader_->takeover;
+    auto answered = std::make_shared<bool>(false);
+    const auto deliver = [this, &w, epoch, tenure, orders, term, answered] {
+      const bool taken = epoch >= w.epoch && tenure == w.tenure;
+      if (taken) {
+        w.epoch = epoch;
+        execute(w, orders);
+      }
+      const Report r = report_of(w);
+      if (dropped()) return;
+      at(now_ + delay(), [this, r, term, answered] {
+        if (leader_->takeover != term || *answered) return;
+        *answered = true;
+        auto outcome = take_report(leader_->book, r, {now_, now_}, false, leader_->takeover);
+        leader_->book.host(leader_->book.find_host(r.host)).in_flight_epoch = 0;
+        leader_->record(std::move(outcome.records));
+      });
+    };
+    at(now_ + delay(), [this, &w, deliver] {
+      if (now_ < w.hangs_until) {
+        w.held.push_back(deliver);
+      } else {
+        deliver();
+      }
+    });
+    at(now_ + 1.5, [this, name, term, answered, starts, epoch] {
+      if (leader_->takeover != term || *answered) return;
+      *answered = true;
+      Host& host = leader_->book.host(leader_->book.find_host(name));
+      host.in_flight_epoch = 0;
+      if (starts) host.doubt_epoch = std::max(host.doubt_epoch, epoch);
+    });
+  }
+
+  // A hanging machine's tasks are over with its lease, though it can tell so only later.
+  bool holds(const Worker& w) const { return now_ - w.answered_sent <= kLease; }
+
+  void execute(Worker& w, const std::vector<Order>& orders) {
+    for (const auto& o : orders) {
+      const auto key = std::tuple(o.id.uid, o.id.task, o.attempt);
+      auto it = w.pieces.find(key);
+      if (o.verb == Verb::run && it == w.pieces.end()) {
+        ++runs;
+        for (auto& other : workers_)
+          for (const auto& [k, p] : other.pieces)
+            if (holds(other) && std::get<0>(k) == o.id.uid && std::get<1>(k) == o.id.task && p.phase != Phase::exited)
+              broken.push_back("ran_twice: " + o.id.uid + "/" + std::to_string(o.id.task) + " on " + other.name +
+                               " and " + w.name + " at " + std::to_string(now_));
+        w.pieces[key] = {Phase::running, Cause::none, now_ + uniform(0.5, 12)};
+      } else if (o.verb == Verb::kill && it != w.pieces.end() && it->second.phase != Phase::exited) {
+        it->second = {Phase::exited, Cause::halted, 0};
+      } else if (o.verb == Verb::reap && it != w.pieces.end() && it->second.phase == Phase::exited) {
+        w.pieces.erase(it);
+      }
+    }
+    double used = 0;
+    for (auto& other : workers_)
+      for (const auto& [k, p] : other.pieces) used += holds(other) && p.phase != Phase::exited;
+    if (used > kTeamLimit) broken.push_back("quota: " + std::to_string(used));
+  }
+
+  void check(Worker& w) {
+    for (const auto& [key, p] : w.pieces) {
+      auto it = cancelled_.find(std::get<0>(key));
+      if (it != cancelled_.end() && p.phase != Phase::exited && now_ > it->second + kCancel + kLease)
+        broken.push_back("ran_cancelled: " + std::get<0>(key) + " at " + std::to_string(now_));
+    }
+    for (const auto& [uid, pieces] : submitted_) {
+      const JobIdx j = leader_->book.find(uid);
+      if (!j.valid()) {
+        broken.push_back("forgotten: " + uid);
+        continue;
+      }
+      const auto status = leader_->book.job(j).status;
+      if (cancelled_.contains(uid) && status != JobStatus::aborted) broken.push_back("went_back: " + uid);
+      if (status != JobStatus::done) continue;
+      for (std::uint32_t t = 0; t < pieces; ++t)
+        if (!finished_.contains({uid, t})) broken.push_back("not_done: " + uid + "/" + std::to_string(t));
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0, epoch_ = 0, old_epoch_ = 0;
+  double now_ = 0, old_until_ = 0;
+  std::vector<Worker> workers_;
+  std::vector<Record> ledger_;
+  std::unique_ptr<Leader> leader_;
+  std::map<std::string, std::uint32_t> submitted_;
+  std::map<std::string, double> cancelled_;
+  std::set<std::pair<std::string, std::uint32_t>> finished_;
+};
+
+TEST(Safety, NoRuleIsBrokenOnDaysOfRandomTrouble) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Day day(seed);
+    day.play(260);
+    EXPECT_TRUE(day.broken.empty()) << "seed " << seed << ": " << day.broken.size() << " broken, first "
+                                    << (day.broken.empty() ? "" : day.broken.front());
+    EXPECT_GT(day.runs, 20u) << "seed " << seed;
+    EXPECT_GT(day.leaders, 3u) << "seed " << seed;
+    EXPECT_TRUE(day.all_ended()) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace thistle
