--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -225,6 +225,35 @@
   return ends.take();
 }
 
+std::vector<HostIdx> drain_recalled(Book& book, Moment now) {
+  std::set<HostIdx> touched;
+  const auto stop = [&](Placement& p, double wind_down_s) {
+    if (p.stopping || p.closing) return;
+    stop_task(p, wind_down_s);
+    touched.insert(p.host);
+  };
+  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+    const Host& host = book.host(HostIdx{i});
+    if (!host.recall_at || host.gone || host.lost) continue;
+    const double left = *host.recall_at - now.steady;
+    for (const auto& ref : host.placed) {
+      Job& job = book.job(ref.job);
+      Placement& p = job.placed.at(ref.task);
+      const bool saves = job.spec.snapshot_every_s > 0;
+      const double ran = p.running_at > 0 ? now.wall - p.running_at : 0;
+      const bool ends_in_time = job.spec.shape != Shape::service && job.spec.expected_s - ran < left;
+      if (ends_in_time) continue;
+      if (job.spec.shape != Shape::group) {
+        stop(p, saves ? job.spec.snapshot_s : 0);
+        continue;
+      }
+      // An orderly stop tells all of a gang at once.
+      for (auto& [task, other] : job.placed) stop(other, saves ? job.spec.snapshot_s : 0);
+    }
+  }
+  return {touched.begin(), touched.end()};
+}
+
 bool stop_broken_gangs(Book& book) {
   bool any = false;
   for (JobIdx j : book.live()) {
--- a/src/coordination/dealings.hpp
+++ b/src/coordination/dealings.hpp
@@ -41,6 +41,10 @@
 // Ends of everything placed on a host that is known to be empty: its lease is over, or it was released.
 std::vector<Record> clear_host(Book& book, HostIdx h);
 
+// Machines about to be taken: services move at once, work with checkpoints saves, and of the rest what can't end in
+// time starts again elsewhere. Returns the hosts that have something to stop.
+std::vector<HostIdx> drain_recalled(Book& book, Moment now);
+
 // Gangs that lost a task are stopped, so that they can be planned anew.
 bool stop_broken_gangs(Book& book);
 
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -259,6 +259,7 @@
     queue_filled_.notify_all();
   }
   std::set<HostIdx> touched;
+  for (auto h : drain_recalled(book, {steady, wall})) touched.insert(h);
   if (stop_broken_gangs(book)) {
     for (JobIdx j : book.live())
       for (const auto& [task, p] : book.job(j).placed)
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -153,6 +153,22 @@
   EXPECT_TRUE(job("j-1").placed.at(0).stopping);
 }
 
+TEST_F(Dealings, ARecalledMachineIsDrained) {
+  accept("j-1", 1, Shape::service);
+  accept("j-2", 1);
+  report({});
+  start("j-1", 1, {0, 1});
+  start("j-2", 1, {0, 1});
+  job("j-2").spec.expected_s = 5;
+  host().recall_at = steady + 20;
+  EXPECT_EQ(drain_recalled(book, {steady, steady}).size(), 1u);
+  EXPECT_TRUE(job("j-1").placed.at(0).stopping) << "a service moves at once";
+  EXPECT_FALSE(job("j-2").placed.at(0).stopping) << "it ends before the machine goes";
+  job("j-2").spec.expected_s = 50;
+  drain_recalled(book, {steady, steady});
+  EXPECT_TRUE(job("j-2").placed.at(0).stopping);
+}
+
 // A new leader greets a worker before it has answered any of its reports: its lease must not count from never.
 TEST(Lease, OfAGreetedWorkerCountsFromWhenItWasKnownToHaveSeenTheEpoch) {
   Host host;
