--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
   CLI::App app{"thistlefront: a cluster scheduler"};
   std::string config;
   thistle::Tuning tuning;
+  app.failure_message([](const CLI::App*, const CLI::Error& e) { return std::string(e.what()) + "\n"; });
   app.set_version_flag("--version", std::string("thistlefront 0.1.0"));
   app.add_option("--config", config, "the platform's settings file (TOML)")->required()->type_name("FILE");
   app.add_option("--weight", tuning.weight, "weight of a second waited in the key")
