--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -367,23 +367,26 @@
   term_->next_entry = next;
   term_->tail.clear();
   term_->tail_stamp = 0;
-  term_->first_entry = first_new;
   term_->entries = term_->snapshot_entries = next - first_new;
   lock.unlock();
   const auto step = std::min<std::size_t>(settings_.txn_ops, 8);
-  for (auto n = first_old; n < first_new; n += step) {
+  auto n = first_old;
+  for (; n < first_new; n += step) {
     std::vector<std::string> removes;
     for (auto i = n; i < std::min<std::uint64_t>(n + step, first_new); ++i) removes.push_back(entry_key(i));
     epoch = current_epoch();
     if (epoch == 0) break;
     pace_writes(removes.size(), stop);
     std::vector<std::string> failed;
-    // Entries that stay behind do no harm; they are removed with the next snapshot's only if they are its own.
     if (store.txn(txn_body({{kLeaderKey, epoch}}, {}, removes), stamp, failed) != StoreStatus::ok) break;
   }
   lock.lock();
+  if (term_number_ != number) return false;
+  // Where this stopped short, the next snapshot goes on from here: what is left must always be a suffix. A gap would
+  // leave an old acceptance without the ends that came after it, and the snapshot's own record would be passed over.
+  term_->first_entry = std::min<std::uint64_t>(n, first_new);
   spdlog::info("ledger snapshot: {} entries replace {}", next - first_new, first_new - first_old);
-  return term_number_ == number;
+  return true;
 }
 
 }  // namespace thistle
