--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -23,6 +23,10 @@
 constexpr double kProbeTimeout = 1.0;
 constexpr unsigned kPage = 500;
 constexpr unsigned kMostAtOnce = 4;
+
+std::string offer_name(const std::string& kind, const std::string& yard, bool market) {
+  return kind + "/" + yard + (market ? "/market" : "/fixed");
+}
 }  // namespace
 
 void Controller::cloud_duty(std::stop_token stop) {
@@ -257,7 +261,7 @@
           if (!job.spec.yard.empty() && job.spec.yard != y) continue;
           for (bool market : {true, false}) {
             if (market && !job.spec.loaners) continue;
-            const auto it = refused_rentals_.find(f.name + "/" + y + (market ? "/market" : "/fixed"));
+            const auto it = refused_rentals_.find(offer_name(f.name, y, market));
             if (it != refused_rentals_.end() && it->second > now) continue;
             options.push_back({(market ? f.market_price : f.price) / units, &f, &y, market, units});
           }
@@ -298,12 +302,12 @@
           }
         }
       }
-      if (names.size() < count) refused_rentals_[kind + "/" + yard + (loaner ? "/market" : "/fixed")] = steady_now() + kRefusedPause;
+      if (names.size() < count) refused_rentals_[offer_name(kind, yard, loaner)] = steady_now() + kRefusedPause;
     } catch (const Malformed& e) {
       spdlog::error("cloud: rental: {}", e.what());
     }
   } else if (r.is(503)) {
-    refused_rentals_[kind + "/" + yard + (loaner ? "/market" : "/fixed")] = steady_now() + kRefusedPause;
+    refused_rentals_[offer_name(kind, yard, loaner)] = steady_now() + kRefusedPause;
   }
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -62,6 +62,7 @@
   HttpReply submit(Lock& lock, std::string_view body);
   HttpReply status(Lock& lock, const std::string& uid);
   HttpReply withdraw(Lock& lock, const std::string& uid);
+  FramePool* leader_pool();  // nullptr when no peer is known to lead
   HttpReply forward(Lock& lock, const HttpCall& call);
   HttpReply on_report(std::string_view body, bool forwarded);
   HttpReply health();
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -77,10 +77,14 @@
   return reply;
 }
 
-HttpReply Controller::forward(Lock& lock, const HttpCall& call) {
-  FramePool* pool = nullptr;
+FramePool* Controller::leader_pool() {
   for (auto& link : links_)
-    if (link.peer.label == known_leader_) pool = link.calls.get();
+    if (link.peer.label == known_leader_) return link.calls.get();
+  return nullptr;
+}
+
+HttpReply Controller::forward(Lock& lock, const HttpCall& call) {
+  FramePool* pool = leader_pool();
   lock.unlock();
   if (pool) {
     const auto answer =
@@ -218,9 +222,7 @@
       }
       bounce = {-1e9, now + kForwardWindow};
     }
-    FramePool* pool = nullptr;
-    for (auto& link : links_)
-      if (link.peer.label == known_leader_) pool = link.calls.get();
+    FramePool* pool = leader_pool();
     const std::string steward = known_leader_;
     lock.unlock();
     if (pool) {
