--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -196,7 +196,7 @@
 
 void Book::settle(JobIdx j) {
   Job& job = jobs_[j.v];
-  if (!job.ended() || !job.placed.empty()) return;
+  if (!job.ended() || !job.placed.empty() || job.partly_read) return;
   auto it = std::find(live_.begin(), live_.end(), j);
   if (it != live_.end()) {
     *it = live_.back();
@@ -277,8 +277,15 @@
 // job begins. A job with many ranges comes in several records, of which only the last one carries its end.
 void Book::on(const JobRecord& r) {
   JobIdx j = find(r.accept.job.uid);
-  if (!j.valid()) j = add_job(r.accept);
+  if (!j.valid()) {
+    // Left over from an earlier time that it was written anew: what came before this part is gone from the ledger, and
+    // all of the job is further on.
+    if (r.from > 0) return;
+    j = add_job(r.accept);
+    jobs_[j.v].partly_read = true;
+  }
   Job& job = jobs_[j.v];
+  if (!r.more) job.partly_read = false;
   job.attempts = std::max(job.attempts, r.attempts);
   if (!r.done.empty()) mark_done(j, r.done);
   for (const auto& p : r.placed) {
@@ -301,9 +308,10 @@
       by_uid_.emplace(uid, j);
     }
     Job& job = jobs_[j.v];
-    if (job.ended() && job.placed.empty()) continue;
+    if (job.ended() && job.placed.empty() && !job.partly_read) continue;
     while (!job.placed.empty()) unplace(j, job.placed.begin()->first);
     job.status = r.status;
+    job.partly_read = false;
     settle(j);
   }
 }
@@ -312,6 +320,7 @@
   const Job& job = jobs_[j.v];
   if (job.ended() && job.placed.empty()) return EndedRecord{job.status, {job.uid}};
   JobRecord r;
+  r.from = from;
   r.accept = {job.spec, job.draw, job.accepted_at};
   r.attempts = job.attempts;
   std::size_t items = 0;
@@ -339,7 +348,8 @@
     }
     if (placed != job.placed.end() && placed->first == from) ++placed;
   }
-  if (from >= job.tasks.size()) r.status = job.status;
+  r.more = from < job.tasks.size();
+  if (!r.more) r.status = job.status;
   return r;
 }
 
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -42,6 +42,7 @@
   std::vector<TaskState> tasks;
   std::map<std::uint32_t, Placement> placed;
   std::uint32_t done = 0, waiting = 0;
+  bool partly_read = false;  // records with its other tasks follow in the ledger: it is not settled before them
   // Learned, not in the ledger:
   std::set<HostIdx> failed_on;
   unsigned failures = 0;
--- /dev/null
+++ b/src/bookkeeping/rewriter.cpp
@@ -0,0 +1,87 @@
+#include "bookkeeping/rewriter.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+namespace {
+constexpr std::size_t kFewEntries = 32;  // a ledger this short is left as it is
+constexpr std::size_t kLogFactor = 3;    // entries kept for each that the book itself would take
+constexpr std::size_t kJobBytes = 600, kTaskBytes = 12, kRangeBytes = 24, kEndedBytes = 24;  // rough sizes in the ledger
+constexpr std::size_t kMostItems = 100;  // ranges in one record: well inside an entry
+
+std::uint64_t most_entries(const Book& book, std::size_t entry_bytes) {
+  std::size_t bytes = (book.job_count() - book.live().size()) * kEndedBytes;
+  for (JobIdx j : book.live()) bytes += kJobBytes + book.job(j).placed.size() * kTaskBytes;
+  return kFewEntries + kLogFactor * (bytes / std::max<std::size_t>(entry_bytes, 1));
+}
+}  // namespace
+
+void Rewriter::begins(std::uint64_t entry, JobIdx job) {
+  if (!job.valid()) {
+    // The newest flavors are all that is needed of them.
+    for (auto& [n, jobs] : begin_there_) std::erase(jobs, job);
+    std::erase_if(begin_there_, [](const auto& e) { return e.second.empty(); });
+  }
+  begin_there_[entry].push_back(job);
+}
+
+std::vector<Rewriter::Item> Rewriter::next(const Book& book, std::uint64_t first, std::uint64_t next,
+                                           std::size_t entry_bytes) const {
+  std::vector<Item> out;
+  if (next - first <= most_entries(book, entry_bytes)) return out;
+  const auto oldest = begin_there_.begin();
+  // Nothing is moved into the entry that it comes from.
+  if (oldest == begin_there_.end() || oldest->first + 1 >= next) return out;
+  const std::size_t budget = entry_bytes / 2;
+  std::size_t bytes = 0;
+  for (JobIdx j : oldest->second) {
+    if (!j.valid()) {
+      out.push_back({j, FlavorsRecord{book.flavors()}, 0, true, true});
+      continue;
+    }
+    std::uint32_t from = j == partial_ ? partial_covered_ : 0;
+    do {
+      if (bytes >= budget) return out;
+      Item item{j, {}, 0, from == 0, false};
+      item.record = book.job_record(j, from, kMostItems);
+      item.covered = from;
+      item.ends = book.covered(j, from);
+      if (const auto* job = std::get_if<JobRecord>(&item.record)) {
+        bytes += kJobBytes + (job->done.size() + job->placed.size()) * kRangeBytes;
+      } else {
+        bytes += kEndedBytes;
+      }
+      out.push_back(std::move(item));
+    } while (!out.back().ends);
+  }
+  return out;
+}
+
+void Rewriter::written(const std::vector<Item>& items, const std::vector<std::uint64_t>& entries) {
+  for (std::size_t i = 0; i < std::min(items.size(), entries.size()); ++i) {
+    const Item& item = items[i];
+    const bool whole = item.begins && item.ends;
+    if (item.begins && !item.ends) partial_entry_ = entries[i];
+    if (!item.ends) {
+      partial_ = item.job;
+      partial_covered_ = item.covered;
+      continue;
+    }
+    // A job in several records begins where the first of them is (went_back: with a later one, its first tasks went).
+    const std::uint64_t entry = whole ? entries[i] : partial_entry_;
+    if (item.job == partial_) partial_ = {};
+    for (auto it = begin_there_.begin(); it != begin_there_.end(); ++it) {
+      if (std::erase(it->second, item.job) == 0) continue;
+      if (it->second.empty()) begin_there_.erase(it);
+      break;
+    }
+    begin_there_[entry].push_back(item.job);
+  }
+}
+
+std::uint64_t Rewriter::oldest_needed(std::uint64_t otherwise) const {
+  return begin_there_.empty() ? otherwise : begin_there_.begin()->first;
+}
+
+}  // namespace thistle
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bookkeeping/book.hpp"
+#include "bookkeeping/rewriter.hpp"
 #include "coordination/dealings.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/store_client.hpp"
@@ -43,7 +44,8 @@
     std::uint64_t hold = 0;
     double valid_until = 0;            // steady: until then no one else can lead
     double taken_over_at = 0;
-    double peers_acked_at = -1;
+    double majority_acked_at = -1;     // steady: a majority of the controllers knew of this term
+    double peers_acked_at = -1;        // steady: no other controller answers workers from then on
     bool bump_wanted = false;
     double bumped_at = 0;
     std::unique_ptr<Book> book;        // set when recovered
@@ -51,12 +53,7 @@
     std::uint64_t next_entry = 0, seq = 0, tail_stamp = 0;
     std::string tail;                  // encoded records of the newest entry, joined by commas
     std::uint64_t first_entry = 0;     // the oldest one kept
-    // By entry: the jobs whose first record is there. An entry without any is removed when it is the oldest.
-    std::map<std::uint64_t, std::vector<JobIdx>> begin_there;
-    // The job that is being written anew so that the oldest entry can go, and its tasks covered so far.
-    JobIdx rewriting;
-    std::uint32_t rewritten_tasks = 0;
-    std::uint64_t rewritten_in = 0;    // the entry that has its first new record
+    Rewriter rewriter;
   };
 
   // ---- requests (requests.cpp)
@@ -77,10 +74,16 @@
   bool take_leadership(StoreClient& store, std::stop_token stop);
   void lead(StoreClient& store, std::stop_token stop);
   void peer_duty(std::stop_token stop, std::size_t peer);
+  void note_acks();
   void learn(std::uint64_t epoch, const std::string& label);
   // Cut off from its peers and from most workers, though not from the state service: another serves better.
   bool isolated() const;
   void step_down(Lock& lock, const char* why);
+  // Whether a report may be answered. A leader that can't renew its hold goes on for the sake of the workers' leases,
+  // but only while a majority of the controllers, itself among them, answered it lately and knew of no later one.
+  bool may_answer(double now) const;
+  // For how long it goes on without them.
+  double lonely_grace() const;
   // Leads for certain at this moment: may decide, and may tell users what the book says.
   bool decisive() const;
 
@@ -89,15 +92,6 @@
   bool recover(StoreClient& store, std::stop_token stop, std::uint64_t term);
   bool commit(StoreClient& store, std::stop_token stop, Lock& lock);
   bool bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock);
-  // Records of jobs whose older ones are to go, taken from the book as it is after all that was committed.
-  struct Rewrite {
-    JobIdx job;
-    Record record;
-    std::uint32_t covered = 0;
-    bool begins = false, ends = false;
-  };
-  std::vector<Rewrite> rewrite_oldest(std::size_t budget) const;
-  [[nodiscard]] std::uint64_t most_entries() const;
   // Records that can wait a moment join the next commit, so that many ends cost few writes.
   enum class Haste { now, soon };
   std::uint64_t enqueue(std::vector<Record> records, Haste haste = Haste::now);
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -15,6 +15,8 @@
 constexpr double kBeatPeriod = 0.5;
 constexpr unsigned kFollowMs = 10000;
 constexpr double kPeersLost = 3.0;    // no peer has answered for this long
+constexpr double kLonelyGrace = 5.0;  // longest that an uncertain leader answers workers without a majority
+constexpr double kAnswerLag = 1.0;
 constexpr double kStandBack = 4.0;    // before it tries to lead again
 }  // namespace
 
@@ -149,6 +151,21 @@
   }
 }
 
+// A leader inside a cut would keep its workers' leases alive for as long as the cut lasts, while its successor tells
+// users that their jobs are cancelled (kaubaalus grown, rough: ran_cancelled). A majority that knows of the successor
+// leaves it without one, so the successor can count on its silence soon after.
+bool Controller::may_answer(double now) const {
+  if (now < term_->valid_until) return true;
+  const auto lately = std::count_if(links_.begin(), links_.end(),
+                                    [&](const PeerLink& l) { return now - l.answered_at < lonely_grace(); });
+  return 2 * (static_cast<std::size_t>(lately) + 1) > links_.size() + 1;
+}
+
+double Controller::lonely_grace() const {
+  // Within it and one lease, what a successor has cancelled must be gone.
+  return std::clamp((settings_.cancel_s - settings_.lease_s) / 4, 1.0, kLonelyGrace);
+}
+
 bool Controller::isolated() const {
   const double now = steady_now();
   if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s) return false;
@@ -211,6 +228,7 @@
       if (stop.stop_requested()) return;
       beat = {settings_.label, term_->epoch, term_->takeover_epoch};
     }
+    const double asked = steady_now();
     const auto answer = link.beats->ask(pack(beat), 1.0);
     const auto ack = answer ? unpack_ack(*answer) : std::nullopt;
     if (reached != ack.has_value()) {
@@ -225,14 +243,23 @@
       step_down(lock, "a peer knows of a higher epoch");
       continue;
     }
-    link.answered_at = steady_now();
+    link.answered_at = asked;
     link.acked_epoch = std::max(link.acked_epoch, ack->epoch);
-    if (term_->peers_acked_at < 0) {
-      const bool all = std::all_of(links_.begin(), links_.end(),
-                                   [&](auto& l) { return l.acked_epoch >= term_->takeover_epoch; });
-      if (all) term_->peers_acked_at = steady_now();
-    }
+    note_acks();
   }
 }
 
+void Controller::note_acks() {
+  Term& term = *term_;
+  const double now = steady_now();
+  const auto acked = static_cast<std::size_t>(std::count_if(
+      links_.begin(), links_.end(), [&](const PeerLink& l) { return l.acked_epoch >= term.takeover_epoch; }));
+  if (acked == links_.size() && term.peers_acked_at < 0) term.peers_acked_at = now;
+  if (2 * (acked + 1) > links_.size() + 1 && term.majority_acked_at < 0) term.majority_acked_at = now;
+  // An earlier leader that hears of none of those that know better falls silent after its grace.
+  if (term.peers_acked_at < 0 && term.majority_acked_at >= 0 &&
+      now > term.majority_acked_at + lonely_grace() * (1 + kClockDrift) + kAnswerLag)
+    term.peers_acked_at = now;
+}
+
 }  // namespace thistle
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -17,10 +17,6 @@
 constexpr double kWriteBurst = 0.7;  // seconds' worth of them that may be made at once
 constexpr double kIdleWait = 3600;
 constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
-constexpr std::size_t kFewEntries = 32;         // a ledger this short is left as it is
-constexpr std::size_t kLogFactor = 3;           // entries kept for each that the book itself would take
-constexpr std::size_t kJobBytes = 600, kTaskBytes = 12, kEndedBytes = 24;  // rough sizes of what the book would take
-constexpr std::size_t kMostItems = 100;         // ranges in one record: well inside an entry
 constexpr std::size_t kEndedInRecord = 100;
 constexpr std::size_t kRemovesACommit = 2;
 
@@ -95,7 +91,7 @@
   const double began = steady_now();
   std::uint64_t seq = 0, next = 0, first = UINT64_MAX;
   std::size_t entries = 0, known = 0;
-  std::map<std::uint64_t, std::vector<JobIdx>> begin_there;
+  Rewriter rewriter;
   std::string from;
   for (;;) {
     {
@@ -113,9 +109,9 @@
         const auto entry = parse_entry(row.value);
         for (const auto& r : entry.records) {
           book->apply(r);
-          if (std::holds_alternative<FlavorsRecord>(r)) begin_there[n].push_back(JobIdx{});
+          if (std::holds_alternative<FlavorsRecord>(r)) rewriter.begins(n, JobIdx{});
         }
-        for (; known < book->job_count(); ++known) begin_there[n].push_back(JobIdx{static_cast<std::uint32_t>(known)});
+        for (; known < book->job_count(); ++known) rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(known)});
         seq = std::max(seq, entry.seq);
         next = n + 1;
         first = std::min<std::uint64_t>(first, n);
@@ -137,7 +133,7 @@
   term_->tail_stamp = 0;
   term_->tail.clear();
   term_->first_entry = first == UINT64_MAX ? 0 : first;
-  term_->begin_there = std::move(begin_there);
+  term_->rewriter = std::move(rewriter);
   term_->book = std::move(book);
   for (const auto& [name, at] : early_answers_) term_->book->host(term_->book->host_named(name)).answered_at = at;
   early_answers_.clear();
@@ -151,46 +147,6 @@
   return true;
 }
 
-std::uint64_t Controller::most_entries() const {
-  const Book& book = *term_->book;
-  std::size_t bytes = (book.job_count() - book.live().size()) * kEndedBytes;
-  for (JobIdx j : book.live()) bytes += kJobBytes + book.job(j).placed.size() * kTaskBytes;
-  return kFewEntries + kLogFactor * (bytes / static_cast<std::size_t>(settings_.value_kb * 1024));
-}
-
-// The ledger is kept short a little at a time, along with other commits, so that no commit waits for it: the jobs
-// that begin in the oldest entry are written anew at the end, and then that entry goes. What is left is always a
-// suffix. Reading it gives the same book, since records about a job not yet known change nothing.
-std::vector<Controller::Rewrite> Controller::rewrite_oldest(std::size_t budget) const {
-  std::vector<Rewrite> out;
-  const Term& term = *term_;
-  const Book& book = *term.book;
-  if (term.next_entry - term.first_entry <= most_entries()) return out;
-  const auto oldest = term.begin_there.begin();
-  // Nothing is moved into the entry that it comes from.
-  if (oldest == term.begin_there.end() || oldest->first + 1 >= term.next_entry) return out;
-  auto from = term.rewriting.valid() ? term.rewritten_tasks : 0;
-  std::size_t bytes = 0;
-  for (JobIdx j : oldest->second) {
-    if (!j.valid()) {
-      out.push_back({j, FlavorsRecord{book.flavors()}, 0, true, true});
-      continue;
-    }
-    for (bool begins = from == 0;; begins = false) {
-      if (bytes >= budget) return out;
-      Rewrite r{j, book.job_record(j, from, kMostItems), 0, begins, false};
-      r.covered = from;
-      r.ends = book.covered(j, from);
-      bytes += std::holds_alternative<EndedRecord>(r.record) ? kEndedBytes : kJobBytes;
-      if (const auto* job = std::get_if<JobRecord>(&r.record)) bytes += (job->done.size() + job->placed.size()) * 2 * kTaskBytes;
-      out.push_back(std::move(r));
-      if (out.back().ends) break;
-    }
-    from = 0;
-  }
-  return out;
-}
-
 bool Controller::commit(StoreClient& store, std::stop_token stop, Lock& lock) {
   const auto number = term_number_;
   const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
@@ -218,7 +174,7 @@
     return true;
   };
   // First what is written anew: it is true at this point of the ledger, before the records that follow.
-  auto rewrites = rewrite_oldest(value_limit / 2);
+  auto rewrites = term.rewriter.next(*term.book, term.first_entry, term.next_entry, value_limit);
   std::vector<std::uint64_t> rewritten_in;
   EndedRecord ended[2] = {{JobStatus::done, {}}, {JobStatus::aborted, {}}};
   bool all_fit = true;
@@ -228,7 +184,7 @@
   };
   // Ended jobs are joined into few records; where these do not fit, nothing counts as written anew.
   std::stable_partition(rewrites.begin(), rewrites.end(),
-                        [](const Rewrite& r) { return std::holds_alternative<EndedRecord>(r.record); });
+                        [](const Rewriter::Item& r) { return std::holds_alternative<EndedRecord>(r.record); });
   for (auto& r : rewrites) {
     if (const auto* e = std::get_if<EndedRecord>(&r.record)) {
       auto& to = ended[e->status == JobStatus::aborted];
@@ -255,7 +211,7 @@
   // A tail already full needs no rewriting.
   if (entries.size() > 1 && entries.front().records.size() == term.tail.size()) entries.erase(entries.begin());
   // The oldest entries in which no job begins any more.
-  const auto oldest_needed = term.begin_there.empty() ? term.next_entry : term.begin_there.begin()->first;
+  const auto oldest_needed = term.rewriter.oldest_needed(term.next_entry);
   std::vector<std::string> removes;
   auto first_entry = term.first_entry;
   while (first_entry < std::min(oldest_needed, entries.front().n) && removes.size() < kRemovesACommit &&
@@ -337,17 +293,7 @@
   term.tail_stamp = stamp;
   term.next_entry = entries.back().n + 1;
   term.first_entry = first_entry;
-  for (std::size_t i = 0; i < rewritten_in.size(); ++i) {
-    const Rewrite& r = rewrites[i];
-    if (r.begins) term.rewritten_in = rewritten_in[i];
-    term.rewriting = r.ends ? JobIdx{} : r.job;
-    term.rewritten_tasks = r.ends ? 0 : r.covered;
-    if (!r.ends) continue;
-    const auto oldest = term.begin_there.begin();
-    std::erase(oldest->second, r.job);
-    if (oldest->second.empty()) term.begin_there.erase(oldest);
-    term.begin_there[term.rewritten_in].push_back(r.job);
-  }
+  term.rewriter.written(rewrites, rewritten_in);
   for (std::size_t i = 0; i < batch.size(); ++i) {
     auto& q = batch[i];
     const auto jobs = term.book->job_count();
@@ -355,12 +301,8 @@
     if (const auto* done = std::get_if<DoneRecord>(&q.record))
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
     term.book->apply(q.record);
-    if (term.book->job_count() > jobs) term.begin_there[batch_in[i]].push_back(JobIdx{static_cast<std::uint32_t>(jobs)});
-    if (std::holds_alternative<FlavorsRecord>(q.record)) {
-      for (auto& [n, begins] : term.begin_there) std::erase(begins, JobIdx{});
-      std::erase_if(term.begin_there, [](const auto& e) { return e.second.empty(); });
-      term.begin_there[batch_in[i]].push_back(JobIdx{});
-    }
+    if (term.book->job_count() > jobs) term.rewriter.begins(batch_in[i], JobIdx{static_cast<std::uint32_t>(jobs)});
+    if (std::holds_alternative<FlavorsRecord>(q.record)) term.rewriter.begins(batch_in[i], JobIdx{});
     applied_ticket_ = q.ticket;
   }
   ++counters_.commits;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -306,6 +306,8 @@
   ++counters_.passes;
   const double took = steady_now() - steady;
   counters_.pass_seconds = counters_.pass_seconds + took;
+  spdlog::debug("pass: {:.1f} ms, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved", took * 1000,
+                input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size());
   if (!starts.empty()) {
     std::vector<Record> records;
     for (auto& [j, of_job] : starts) {
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -238,6 +238,7 @@
     }
     return {421, steward_body("")};
   }
+  if (!may_answer(now)) return {421, steward_body("")};
   // Answered also while leadership is uncertain or the ledger is being read, so that the lease does not lapse.
   std::vector<Order> orders;
   ++counters_.reports;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -499,7 +499,7 @@
       json placed = json::array();
       for (const auto& p : r.placed) placed.push_back({p.host, p.tenure, p.attempt, p.at, ranges_json(p.tasks)});
       return {"job", accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done),
-              std::move(placed)};
+              std::move(placed), r.from, r.more};
     }
     json operator()(const EndedRecord& r) const { return {"ended", spell(r.status, kStatuses), r.uids}; }
   };
@@ -543,6 +543,10 @@
     for (const auto& p : j.at(5))
       r.placed.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(),
                           p.at(2).get<std::uint64_t>(), p.at(3).get<double>(), parse_ranges(p.at(4))});
+    if (j.size() > 7) {
+      r.from = j.at(6).get<std::uint32_t>();
+      r.more = j.at(7).get<bool>();
+    }
     return r;
   }
   if (kind == "ended")
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -186,7 +186,7 @@
 struct FlavorsRecord {
   std::vector<Flavor> flavors;
 };
-// Snapshot of a job, so that the entries it came from can go.
+// A job as it is at this point of the ledger, so that the entries it came from can go.
 struct JobRecord {
   struct Placed {
     std::string host;
@@ -199,6 +199,9 @@
   std::uint64_t attempts = 0;
   Ranges done;
   std::vector<Placed> placed;
+  // A job with many ranges comes in several records; each covers tasks from `from` on.
+  std::uint32_t from = 0;
+  bool more = false;  // further ones follow
 };
 // Ended jobs need only their name and how they ended.
 struct EndedRecord {
