Passes several times cheaper; victims only for what has no slot in time; rentals merged

Change: gangs are tried from the first time at which enough machines take a unit at all; ends within 0.5 s make one step; the plan's input is not copied; with no hold left only room that is free now is looked at; victims are found with each machine looked at once for a job. Units whose held slot is within the aim for their wait, or else in time for their deadline, stop nobody. One rental takes all jobs that its offer serves best, for units with no slot before a machine could be up.

--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -151,9 +151,9 @@
   p.tenure = tenure;
   p.attempt = attempt;
   p.at = at;
-  job.placed.emplace(task, p);
+  Placement& placement = job.placed.emplace(task, p).first->second;
   Host& host = hosts_[h.v];
-  host.placed.push_back({j, task});
+  host.placed.push_back({{j, task}, &placement});
   host.used += job.spec.need;
   touch_image(host, job.image, job.spec.pull_gb);
   if (job.team.valid()) teams_[job.team.v].used += job.spec.need;
@@ -164,7 +164,7 @@
   auto it = job.placed.find(task);
   if (it == job.placed.end()) return;
   Host& host = hosts_[it->second.host.v];
-  auto at = std::find(host.placed.begin(), host.placed.end(), PieceRef{j, task});
+  auto at = std::find_if(host.placed.begin(), host.placed.end(), [&](const PlacedPiece& q) { return q.at == &it->second; });
   if (at != host.placed.end()) {
     *at = host.placed.back();
     host.placed.pop_back();
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -1,6 +1,7 @@
 // The book: jobs, tasks, hosts and teams. What the ledger's records say is applied here, in order, and nothing
 // else changes what is durable. Pure: time is passed in.
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -59,6 +60,11 @@
   friend auto operator<=>(const PieceRef&, const PieceRef&) = default;
 };
 
+// A task placed on a host, with its placement at hand (it stays where it is until it is taken off).
+struct PlacedPiece : PieceRef {
+  Placement* at = nullptr;
+};
+
 struct SeenPiece {
   PieceRef ref;           // job not valid: not in the book
   std::uint64_t attempt = 0;
@@ -80,7 +86,7 @@
   bool lost = false;             // its lease is over; not used until it reports again
   bool gone = false;             // released or taken: it does not come back
   std::optional<double> recall_at;  // steady seconds
-  std::vector<PieceRef> placed;
+  std::vector<PlacedPiece> placed;
   Resources used;                // by placed tasks
   std::vector<SeenPiece> pieces; // the newest report's, sorted by ref
   std::vector<std::pair<ImageIdx, double>> images;  // most recently used last
@@ -178,7 +184,7 @@
   Interner<ImageIdx> images_;
   Interner<ClassIdx> classes_;
   std::vector<Team> teams_;
-  std::vector<Job> jobs_;
+  std::deque<Job> jobs_;  // never moved: hosts point to placements
   std::unordered_map<std::string, JobIdx> by_uid_;
   std::vector<JobIdx> live_;
   std::vector<Host> hosts_;
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -22,7 +22,7 @@
 constexpr double kSilentSlack = 1.0;
 constexpr double kProbeTimeout = 1.0;
 constexpr unsigned kPage = 500;
-constexpr unsigned kMostAtOnce = 4;
+constexpr unsigned kMostAtOnce = 50;         // in one rental
 
 std::string offer_name(const std::string& kind, const std::string& yard, bool market) {
   return kind + "/" + yard + (market ? "/market" : "/fixed");
@@ -237,7 +237,7 @@
     }
     for (const auto& u : unserved_) {
       const Job& job = book.job(u.job);
-      if (job.ended() || job.tasks.empty() || kind.size()) continue;
+      if (job.ended() || job.tasks.empty() || u.late == 0) continue;
       struct Option {
         double price;
         const Flavor* flavor;
@@ -255,8 +255,6 @@
         if (job.spec.need.ram_gb > 0) per = std::min(per, f.room.ram_gb / job.spec.need.ram_gb);
         if (job.spec.need.accelerators > 0) per = std::min(per, f.room.accelerators / job.spec.need.accelerators);
         const auto units = std::max(1u, static_cast<unsigned>(per + 1e-6));
-        // Renting pays only where the machine is up before the slot that is held anyway.
-        if (u.earliest - wall_now() < f.boot_s) continue;
         for (const auto& y : f.yards) {
           if (!job.spec.yard.empty() && job.spec.yard != y) continue;
           for (bool market : {true, false}) {
@@ -270,19 +268,24 @@
       if (options.empty()) continue;
       const auto& best = *std::min_element(options.begin(), options.end(),
                                            [](auto& a, auto& b) { return a.price < b.price; });
-      const unsigned wanted = (u.units + best.per_machine - 1) / best.per_machine;
+      // Renting pays only for what has no slot before the machine is up.
+      unsigned wanted = (u.late + best.per_machine - 1) / best.per_machine;
       auto& on_the_way = coming[book.kind_of(best.flavor->name)];
-      if (on_the_way >= wanted) {
-        on_the_way -= wanted;
-        continue;
+      const unsigned served = std::min(on_the_way, wanted);
+      on_the_way -= served;
+      wanted -= served;
+      if (wanted == 0) continue;
+      // One request a turn, for all jobs that are best served by the same offer as the first.
+      if (kind.empty()) {
+        kind = best.flavor->name;
+        yard = *best.yard;
+        loaner = best.loaner;
       }
-      count = std::min(wanted - on_the_way, kMostAtOnce);
-      kind = best.flavor->name;
-      yard = *best.yard;
-      loaner = best.loaner;
-      // The epoch is of this term alone, so no other controller or process ever uses the name again.
-      rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
+      if (kind == best.flavor->name && yard == *best.yard && loaner == best.loaner)
+        count = std::min(count + wanted, kMostAtOnce);
     }
+    // The epoch is of this term alone, so no other controller or process ever uses the name again.
+    if (count > 0) rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
     if (kind.empty()) return;
   }
   const auto r = cloud.post(kRentPath, rent_body(rental, kind, yard, loaner, count), kCloudTimeout);
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -108,6 +108,7 @@
   PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
   void keep_accelerators(PlanInput& in, double steady);
+  double patience_of(const Job& job, double wall) const;
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
 
--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -89,8 +89,8 @@
   if (new_tenure) {
     // A later tenure: the worker forgot all it held, and commands of the earlier one are refused.
     for (const auto& ref : host.placed) {
-      Placement* p = book.placement(ref);
-      if (p && p->tenure < report.tenure && !p->closing) {
+      Placement* p = ref.at;
+      if (p->tenure < report.tenure && !p->closing) {
         p->closing = true;
         ends.off(book, ref, p->attempt);
         out.changed = true;
@@ -144,8 +144,8 @@
   // A stopped task that the worker does not hold: it is off only when no start can still be on its way.
   if (by_report && report.epoch >= fence_epoch && host.clean(report.epoch)) {
     for (const auto& ref : host.placed) {
-      Placement* p = book.placement(ref);
-      if (!p || !p->stopping || p->closing || p->tenure != report.tenure) continue;
+      Placement* p = ref.at;
+      if (!p->stopping || p->closing || p->tenure != report.tenure) continue;
       const bool there = std::any_of(host.pieces.begin(), host.pieces.end(), [&](const SeenPiece& s) {
         return s.ref == ref && s.attempt == p->attempt;
       });
@@ -190,8 +190,8 @@
   }
   for (const auto& ref : host.placed) {
     if (out.size() >= kMostOrders) return out;
-    const Placement* p = const_cast<Book&>(book).placement(ref);
-    if (!p || p->closing || p->tenure != host.tenure || find(ref, p->attempt)) continue;
+    const Placement* p = ref.at;
+    if (p->closing || p->tenure != host.tenure || find(ref, p->attempt)) continue;
     const Job& job = book.job(ref.job);
     if (p->stopping) {
       out.push_back({Verb::kill, {job.uid, ref.task}, p->attempt, p->wind_down_s});
@@ -217,8 +217,8 @@
 std::vector<Record> clear_host(Book& book, HostIdx h) {
   Ends ends;
   for (const auto& ref : book.host(h).placed) {
-    Placement* p = book.placement(ref);
-    if (!p || p->closing) continue;
+    Placement* p = ref.at;
+    if (p->closing) continue;
     p->closing = true;
     ends.off(book, ref, p->attempt);
   }
@@ -238,7 +238,7 @@
     const double left = *host.recall_at - now.steady;
     for (const auto& ref : host.placed) {
       Job& job = book.job(ref.job);
-      Placement& p = job.placed.at(ref.task);
+      Placement& p = *ref.at;
       const bool saves = job.spec.snapshot_every_s > 0;
       const double ran = p.running_at > 0 ? now.wall - p.running_at : 0;
       const bool ends_in_time = job.spec.shape != Shape::service && job.spec.expected_s - ran < left;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -17,8 +17,10 @@
 constexpr double kStartWait = 30.0;
 constexpr std::size_t kMostParts = 100;     // hosts in one start record: well inside a ledger entry
 constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
+constexpr double kTimeGrain = 0.5;        // of ends in the profiles: far finer than estimates are
 constexpr double kDrainSlack = 1.0;
 constexpr double kBumpPeriod = 1.0;
+constexpr double kPatience = 2.0;
 constexpr double kUnlimited = 1e15;
 constexpr double kBorrowed = 60.0;          // about how long a task without accelerators runs
 constexpr double kDemandMemory = 60.0;     // seconds over which the demand for accelerators fades
@@ -68,6 +70,18 @@
   return within;
 }
 
+// How long a slot may be waited for before other work is stopped: until the aim for the wait of its class, or, when
+// that is past, until its deadline can just be kept. Services are wanted at once.
+double Controller::patience_of(const Job& job, double wall) const {
+  const double waited = wall - job.accepted_at;
+  if (job.spec.shape == Shape::service) return kPatience;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == job.spec.job_class && waited < o.within_s)
+      return std::max(kPatience / 4, o.within_s - waited - kPatience / 4);
+  if (job.spec.due_s) return std::max(kPatience, *job.spec.due_s - waited - job.spec.expected_s);
+  return kPatience;
+}
+
 PlanJob Controller::plan_job(JobIdx j, const PlanInput& in, double wall) {
   const Book& book = *term_->book;
   const Job& job = book.job(j);
@@ -82,6 +96,7 @@
   out.image = job.image;
   out.team = job.team;
   out.key = key_of(job.draw, job.spec.expected_s, tuning_.weight, wall - job.accepted_at, out.service);
+  out.patience_s = patience_of(job, wall);
   out.kinds = job.kinds;
   out.yard = job.yard;
   out.one_zone = job.spec.one_zone;
@@ -89,15 +104,20 @@
   if (job.spec.spread) out.zone_cap = (job.spec.pieces + 1) / 2;
   out.zone_used.assign(book.zone_count(), 0);
   out.avoid.assign(job.failed_on.begin(), job.failed_on.end());
-  for (const auto& [task, p] : job.placed) {
-    const ZoneIdx zone = book.host(p.host).zone;
-    if (zone.valid()) ++out.zone_used[zone.v];
+  if (out.service || job.spec.spread || job.spec.one_zone) {
+    for (const auto& [task, p] : job.placed) {
+      const ZoneIdx zone = book.host(p.host).zone;
+      if (zone.valid()) ++out.zone_used[zone.v];
+    }
   }
   if (out.service && !job.placed.empty()) {
     out.host_used.assign(in.hosts.size(), 0);
-    for (std::size_t i = 0; i < in.hosts.size(); ++i)
-      for (const auto& [task, p] : job.placed)
-        if (p.host == in.hosts[i].host) ++out.host_used[i];
+    for (const auto& [task, p] : job.placed) {
+      // In the order of their indices.
+      const auto it = std::lower_bound(in.hosts.begin(), in.hosts.end(), p.host,
+                                       [](const PlanHost& a, HostIdx h) { return a.host < h; });
+      if (it != in.hosts.end() && it->host == p.host) ++out.host_used[static_cast<std::size_t>(it - in.hosts.begin())];
+    }
   }
   return out;
 }
@@ -173,26 +193,40 @@
       for (Resources left = flavor->room; biggest.fits(left); left -= biggest) p.lent -= biggest;
     }
     for (const auto& image : host.images) p.images.push_back(image.first);
+    // Occupants that end at about the same time are taken together: they make one step of the profile.
+    const auto occupy = [&](const Resources& need, double until) {
+      if (until != kForever) until = std::ceil(until / kTimeGrain) * kTimeGrain;
+      auto same = std::find_if(p.occupants.begin(), p.occupants.end(), [&](const auto& o) { return o.until == until; });
+      if (same == p.occupants.end()) {
+        p.occupants.push_back({need, until});
+      } else {
+        same->need += need;
+      }
+    };
+    std::size_t seen = 0;
     for (const auto& ref : host.placed) {
-      const Placement* at = book.placement(ref);
+      const Placement& at = *ref.at;
       const Job& job = book.job(ref.job);
-      if (!at) continue;
+      if (at.seen && at.phase != Phase::exited) ++seen;
       double until = kForever;
-      if (at->stopping) {
-        until = wall + at->wind_down_s + 1;
+      if (at.stopping) {
+        until = wall + at.wind_down_s + 1;
       } else if (job.spec.shape != Shape::service) {
-        until = (at->running_at > 0 ? at->running_at : std::max(at->at, wall - 1)) + job.spec.expected_s;
+        until = (at.running_at > 0 ? at.running_at : std::max(at.at, wall - 1)) + job.spec.expected_s;
       }
-      p.occupants.push_back({job.spec.need, until});
+      occupy(job.spec.need, until);
       if (job.spec.need.accelerators == 0) p.lent -= job.spec.need;
     }
     // What the worker still holds and the book no longer places there is on its way out.
+    const auto held = static_cast<std::size_t>(std::count_if(
+        host.pieces.begin(), host.pieces.end(), [](const SeenPiece& s) { return s.phase != Phase::exited; }));
     for (const auto& s : host.pieces) {
+      if (held <= seen) break;
       if (s.phase == Phase::exited || !s.ref.job.valid()) continue;
       const Placement* at = book.placement(s.ref);
       if (at && at->host == HostIdx{i} && at->attempt == s.attempt) continue;
       const Job& job = book.job(s.ref.job);
-      if (!job.tasks.empty()) p.occupants.push_back({job.spec.need, wall + settings_.report_s});
+      if (!job.tasks.empty()) occupy(job.spec.need, wall + settings_.report_s);
     }
     in.hosts.push_back(std::move(p));
   }
@@ -271,7 +305,11 @@
   }
   note_idle(steady);
   const auto within = within_guarantee();
-  const auto input = plan_input(wall, steady, within);
+  auto input = plan_input(wall, steady, within);
+  // Units without a slot before a machine rented now could be up.
+  double boots = kForever;
+  for (const auto& f : book.flavors()) boots = std::min(boots, f.boot_s);
+  input.horizon = wall + boots;
   auto plan = make_plan(input);
   unserved_ = plan.unserved;
   // What is stopped here makes room that later passes give out, highest tier first.
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -108,17 +108,23 @@
 
 class Planner {
  public:
-  explicit Planner(PlanInput input) : in_(std::move(input)) {
-    held_.resize(in_.teams.size());
+  explicit Planner(const PlanInput& input) : in_(input), teams_(input.teams), held_(input.teams.size()) {
     profiles_.reserve(in_.hosts.size());
-    for (const auto& h : in_.hosts) profiles_.emplace_back(h, in_.now, in_.overrun_s);
+    lent_.reserve(in_.hosts.size());
+    for (const auto& h : in_.hosts) {
+      profiles_.emplace_back(h, in_.now, in_.overrun_s);
+      lent_.push_back(h.lent);
+    }
   }
 
   Plan run() {
-    std::stable_sort(in_.jobs.begin(), in_.jobs.end(), [](const PlanJob& a, const PlanJob& b) {
-      return a.tier != b.tier ? a.tier > b.tier : a.key > b.key;
+    std::vector<const PlanJob*> order;
+    for (const auto& job : in_.jobs) order.push_back(&job);
+    std::stable_sort(order.begin(), order.end(), [](const PlanJob* a, const PlanJob* b) {
+      return a->tier != b->tier ? a->tier > b->tier : a->key > b->key;
     });
-    for (auto& job : in_.jobs) {
+    for (const auto* next : order) {
+      PlanJob job = *next;
       if (job.gang && job.units > 1) {
         place_gang(job);
       } else {
@@ -140,15 +146,15 @@
   // Units that the team's limit lets start now, and units that it lets hold a later slot. What is only held does not
   // count against starts: a long queue of one job must not keep the team's next one from starting.
   [[nodiscard]] std::uint32_t startable(const PlanJob& job) const {
-    return job.team.valid() ? whole_units(job.need, in_.teams[job.team.v].left) : UINT32_MAX;
+    return job.team.valid() ? whole_units(job.need, teams_[job.team.v].left) : UINT32_MAX;
   }
   [[nodiscard]] std::uint32_t holdable(const PlanJob& job) const {
-    return job.team.valid() ? whole_units(job.need, in_.teams[job.team.v].left - held_[job.team.v]) : UINT32_MAX;
+    return job.team.valid() ? whole_units(job.need, teams_[job.team.v].left - held_[job.team.v]) : UINT32_MAX;
   }
   void charge(const PlanJob& job, std::uint32_t units, bool now) {
     if (!job.team.valid()) return;
     if (now) {
-      in_.teams[job.team.v].left -= job.need * units;
+      teams_[job.team.v].left -= job.need * units;
     } else {
       held_[job.team.v] += job.need * units;
     }
@@ -178,7 +184,7 @@
   void record(PlanJob& job, std::size_t h, std::uint32_t units, double t) {
     const PlanHost& host = in_.hosts[h];
     profiles_[h].take(job.need * units, t, duration(job, host));
-    if (borrows(job, host)) in_.hosts[h].lent -= job.need * units;
+    if (borrows(job, host)) lent_[h] -= job.need * units;
     at(job.zone_used, host.zone.v) += units;
     at(job.host_used, h) += units;
     (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t});
@@ -196,12 +202,15 @@
     };
     std::priority_queue<Candidate> queue;
     const auto offer = [&](std::size_t h, double from) {
+      // With no later slot left to give, only room that is free now matters.
+      if (holds_full() && !job.need.fits(profiles_[h].steps().front().free)) return;
+      ++plan_.looks;
       const double t = profiles_[h].earliest(job.need, duration(job, in_.hosts[h]), from);
       if (t < kForever) queue.push({t, cost(job, h), h});
     };
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
-      if (may_run_on(job, in_.hosts[h])) offer(h, in_.now);
-    Plan::Unserved unserved{job.job, 0, kForever};
+      if (may_run_on(job, in_.hosts[h]) && lends(job, h)) offer(h, in_.now);
+    Plan::Unserved unserved{job.job, 0, kForever, 0};
     while (left > 0 && !queue.empty()) {
       const Candidate c = queue.top();
       queue.pop();
@@ -213,26 +222,28 @@
         continue;
       }
       const std::uint32_t used = at(job.zone_used, host.zone.v);
-      if (used >= job.zone_cap || !may_run_on(job, host)) continue;
+      if (used >= job.zone_cap || !lends(job, c.h)) continue;
       if (job.one_zone && zone_taken(job, host.zone)) continue;
       std::uint32_t n = std::min(left, job.zone_cap - used);
       n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
       if (job.service) n = std::min(n, 1u);
-      if (borrows(job, host)) n = std::min(n, whole_units(job.need, host.lent));
+      if (borrows(job, host)) n = std::min(n, whole_units(job.need, lent_[c.h]));
       const bool now = c.t <= in_.now;
       n = std::min(n, now ? startable(job) : holdable(job));
       if (n == 0) continue;
       if (!now) {
         unserved.earliest = std::min(unserved.earliest, c.t);
-        if (plan_.holds.size() >= in_.most_holds) break;
+        if (holds_full()) break;
       }
       record(job, c.h, n, c.t);
       charge(job, n, now);
       left -= n;
       if (!now) unserved.units += n;
+      if (c.t > in_.horizon) unserved.late += n;
       offer(c.h, c.t);
     }
     unserved.units += left;
+    unserved.late += left;
     if (unserved.units > 0) plan_.unserved.push_back(unserved);
   }
 
@@ -260,40 +271,59 @@
     }
     double best = kForever;
     std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
-    for (auto& hosts : sets) {
-      std::vector<double> times{in_.now};
+    for (const auto& hosts : sets) {
+      double longest = 0;
+      for (auto h : hosts) longest = std::max(longest, duration(job, in_.hosts[h]));
+      // Before all of its units have a machine that takes one at all, a gang need not be tried.
+      std::vector<std::pair<double, std::uint32_t>> first;
+      for (auto h : hosts) {
+        ++plan_.looks;
+        const double t = profiles_[h].earliest(job.need, longest, in_.now);
+        if (t < kForever) first.emplace_back(t, whole_units(job.need, in_.hosts[h].room));
+      }
+      std::sort(first.begin(), first.end());
+      double from = kForever;
+      std::uint32_t units = 0;
+      for (const auto& [t, n] : first) {
+        units += n;
+        if (units < job.units) continue;
+        from = t;
+        break;
+      }
+      if (from >= best || (from > in_.now && holds_full())) continue;
+      std::vector<std::pair<double, std::size_t>> ordered;
+      for (auto h : hosts) ordered.emplace_back(cost(job, h), h);
+      std::sort(ordered.begin(), ordered.end());
+      std::vector<double> times{from};
       for (auto h : hosts)
         for (const auto& s : profiles_[h].steps())
-          if (s.at > in_.now) times.push_back(s.at);
+          if (s.at > from) times.push_back(s.at);
       std::sort(times.begin(), times.end());
       times.erase(std::unique(times.begin(), times.end()), times.end());
       for (double t : times) {
         if (t >= best) break;
-        if (auto some = fit_at(job, hosts, t); !some.empty()) {
+        if (auto some = fit_at(job, ordered, t, longest); !some.empty()) {
           best = t;
           chosen = std::move(some);
           break;
         }
       }
     }
-    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best});
-    if (best == kForever || (best > in_.now && plan_.holds.size() >= in_.most_holds)) return;
+    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best, best > in_.horizon ? job.units : 0});
+    if (best == kForever || (best > in_.now && holds_full())) return;
     for (auto [h, n] : chosen) record(job, h, n, best);
     charge(job, job.units, best <= in_.now);
   }
 
-  std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(PlanJob& job, std::vector<std::size_t> hosts, double t) {
-    std::vector<std::pair<double, std::size_t>> ordered;
-    double longest = 0;
-    for (auto h : hosts) longest = std::max(longest, duration(job, in_.hosts[h]));
-    for (auto h : hosts) ordered.emplace_back(cost(job, h), h);
-    std::sort(ordered.begin(), ordered.end());
+  std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(
+      PlanJob& job, const std::vector<std::pair<double, std::size_t>>& ordered, double t, double longest) {
     std::vector<std::pair<std::size_t, std::uint32_t>> out;
     auto zones = job.zone_used;
     std::uint32_t left = job.units;
     for (auto [c, h] : ordered) {
       auto& used = at(zones, in_.hosts[h].zone.v);
       if (used >= job.zone_cap) continue;
+      ++plan_.looks;
       const auto n = std::min({left, profiles_[h].fits(job.need, t, longest), job.zone_cap - used});
       if (n == 0) continue;
       used += n;
@@ -304,14 +334,21 @@
     return {};
   }
 
-  PlanInput in_;
+  [[nodiscard]] bool holds_full() const { return plan_.holds.size() >= in_.most_holds; }
+  [[nodiscard]] bool lends(const PlanJob& job, std::size_t h) const {
+    return !borrows(job, in_.hosts[h]) || job.need.fits(lent_[h]);
+  }
+
+  const PlanInput& in_;
   std::vector<Profile> profiles_;
+  std::vector<Resources> lent_;
+  std::vector<TeamRoom> teams_;
   std::vector<Resources> held_;
   Plan plan_;
 };
 
 }  // namespace
 
-Plan make_plan(PlanInput input) { return Planner(std::move(input)).run(); }
+Plan make_plan(const PlanInput& input) { return Planner(input).run(); }
 
 }  // namespace thistle
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -51,6 +51,7 @@
   std::vector<std::uint32_t> zone_used;    // by zone: its tasks that may be there
   std::vector<std::uint32_t> host_used;    // by position in PlanInput::hosts; empty: none
   std::vector<HostIdx> avoid;              // hosts it failed on
+  double patience_s = 2;                   // a slot held no later than this is waited for; for later ones work is stopped
 };
 
 struct TeamRoom {
@@ -61,6 +62,7 @@
   double now = 0;
   double overrun_s = 30;          // an overrun counts as ending this long after the pass
   std::size_t most_holds = 400;   // bound on held slots a pass, so that its time is bounded
+  double horizon = kForever;      // units with no slot before it are told apart, for renting
   std::vector<PlanHost> hosts;
   std::vector<PlanJob> jobs;
   std::vector<TeamRoom> teams;
@@ -80,8 +82,10 @@
     JobIdx job;
     std::uint32_t units = 0;
     double earliest = kForever;
+    std::uint32_t late = 0;  // of them, those without a slot before the horizon
   };
   std::vector<Unserved> unserved;
+  std::size_t looks = 0;     // machines looked at for a slot: what the pass costs
 };
 
 // Whether the job's tasks may run there at all, whatever room is free now.
@@ -111,7 +115,7 @@
   double until_;
 };
 
-Plan make_plan(PlanInput input);
+Plan make_plan(const PlanInput& input);
 
 // random / max(estimate, 10 s) + weight x waited; services: delay alone.
 double key_of(double draw, double estimate_s, double weight, double waited_s, bool service);
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <queue>
 
 namespace thistle {
 
@@ -50,15 +51,18 @@
     });
     std::size_t units = 0;
     for (const auto* job : order) {
+      if (units >= kMostUnits) break;
       const auto& u = unserved[job->job];
-      if (u.earliest - in_.wall <= in_.patience_s) continue;
+      // Its units that have no slot soon enough. Work ends all the time: what is only waited for a moment costs none.
+      std::uint32_t wanted = u.units;
+      for (const auto& s : in_.plan.holds)
+        if (s.job == job->job && s.at - in_.wall <= job->patience_s) wanted -= std::min(wanted, s.count);
       // A gang of several tasks needs all its room at once; its held slot is waited for.
-      const std::uint32_t wanted = job->gang && u.units > 1 ? 0 : u.units;
+      if (wanted == 0 || (job->gang && u.units > 1)) continue;
       zones_ = job->zone_used;
       for (const auto& s : in_.plan.starts)
-        if (s.job == job->job) ++zone_count(book_.host(s.host).zone);
-      for (std::uint32_t n = 0; n < wanted && units < kMostUnits; ++n, ++units)
-        if (!make_room(*job)) break;
+        if (s.job == job->job) zone_count(book_.host(s.host).zone) += s.count;
+      units += make_room(*job, std::min<std::size_t>(wanted, kMostUnits - units));
     }
     return std::move(victims_);
   }
@@ -95,42 +99,70 @@
     return true;
   }
 
+  struct Choice {
+    double lost = kForever;
+    std::vector<Candidate> set;
+  };
+
   // The cheapest set of victims on one machine that lets one more unit in.
-  bool make_room(const PlanJob& job) {
-    double best = kForever;
-    HostIdx best_host;
-    std::vector<Candidate> best_set;
-    for (const auto& host : in_.plan_input.hosts) {
-      if (!allowed(job, host)) continue;
-      Resources free = free_[host.host];
-      std::vector<Candidate> candidates;
-      if (!job.need.fits(free)) candidates = candidates_on(job, host.host);
-      std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.lost < b.lost; });
-      std::vector<Candidate> set;
-      double lost = job.need.accelerators == 0 && host.room.accelerators > 0 ? 1 : 0;
-      for (auto& c : candidates) {
-        if (job.need.fits(free)) break;
-        free += c.here;
-        lost += c.lost;
-        set.push_back(std::move(c));
+  Choice choice_on(const PlanJob& job, const PlanHost& host) {
+    if (!allowed(job, host)) return {};
+    Resources free = free_[host.host];
+    std::vector<Candidate> candidates;
+    if (!job.need.fits(free)) candidates = candidates_on(job, host.host);
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.lost < b.lost; });
+    Choice choice;
+    double lost = job.need.accelerators == 0 && host.room.accelerators > 0 ? 1 : 0;
+    for (auto& c : candidates) {
+      if (job.need.fits(free)) break;
+      free += c.here;
+      lost += c.lost;
+      choice.set.push_back(std::move(c));
+    }
+    if (!job.need.fits(free)) return {};
+    // What the others freed already may make some of them unnecessary; the dearest are given back first.
+    for (auto it = choice.set.rbegin(); it != choice.set.rend();) {
+      if (job.need.fits(free - it->here)) {
+        free -= it->here;
+        lost -= it->lost;
+        it = decltype(it)(choice.set.erase(std::next(it).base()));
+      } else {
+        ++it;
       }
-      if (!job.need.fits(free) || lost >= best) continue;
-      // What the others freed already may make some of them unnecessary; the dearest are given back first.
-      for (auto it = set.rbegin(); it != set.rend();) {
-        if (job.need.fits(free - it->here)) {
-          free -= it->here;
-          lost -= it->lost;
-          it = decltype(it)(set.erase(std::next(it).base()));
-        } else {
-          ++it;
-        }
+    }
+    choice.lost = lost;
+    return choice;
+  }
+
+  // Room for up to `wanted` units, the cheapest first; returns for how many. Each machine is looked at once, and again
+  // only when it is its turn: what it costs there can only have grown.
+  std::size_t make_room(const PlanJob& job, std::size_t wanted) {
+    using Entry = std::pair<double, std::size_t>;
+    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> queue;
+    const auto& hosts = in_.plan_input.hosts;
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+      if (const auto choice = choice_on(job, hosts[i]); choice.lost < kForever) queue.emplace(choice.lost, i);
+    std::size_t made = 0;
+    while (made < wanted && !queue.empty()) {
+      const std::size_t i = queue.top().second;
+      queue.pop();
+      const auto choice = choice_on(job, hosts[i]);
+      if (choice.lost == kForever) continue;
+      if (!queue.empty() && choice.lost > queue.top().first) {
+        queue.emplace(choice.lost, i);
+        continue;
       }
-      best = lost;
-      best_host = host.host;
-      best_set = std::move(set);
+      stop(choice.set);
+      free_[hosts[i].host] -= job.need;
+      ++zone_count(hosts[i].zone);
+      ++made;
+      queue.emplace(choice.lost, i);
     }
-    if (!best_host.valid()) return false;
-    for (const auto& c : best_set) {
+    return made;
+  }
+
+  void stop(const std::vector<Candidate>& set) {
+    for (const auto& c : set) {
       const Job& victim = book_.job(c.job);
       for (const auto& ref : c.refs) {
         taken_.insert(ref);
@@ -140,9 +172,6 @@
         if (victim.team.valid()) excess_[victim.team.v] -= victim.spec.need;
       }
     }
-    free_[best_host] -= job.need;
-    ++zone_count(book_.host(best_host).zone);
-    return true;
   }
 
   std::vector<Candidate> candidates_on(const PlanJob& job, HostIdx h) {
@@ -151,8 +180,8 @@
     for (const auto& ref : book_.host(h).placed) {
       const Job& victim = book_.job(ref.job);
       if (taken_.contains(ref) || !may_stop(job, ref.job)) continue;
-      const auto it = victim.placed.find(ref.task);
-      if (it == victim.placed.end() || it->second.stopping || it->second.closing) continue;
+      const Placement& at = *ref.at;
+      if (at.stopping || at.closing) continue;
       Candidate c;
       c.job = ref.job;
       if (victim.spec.shape == Shape::group) {
@@ -165,7 +194,7 @@
       } else {
         c.refs.push_back(ref);
         c.here = victim.spec.need;
-        c.lost = lost_by(victim, it->second, in_.wall, in_.starts_count);
+        c.lost = lost_by(victim, at, in_.wall, in_.starts_count);
       }
       out.push_back(std::move(c));
     }
--- a/src/coordination/preemption.hpp
+++ b/src/coordination/preemption.hpp
@@ -20,7 +20,6 @@
   const std::set<JobIdx>& within_guarantee;
   double wall = 0;
   std::set<std::string> starts_count;  // job classes with an aim for their wait
-  double patience_s = 2;  // a slot held no later than this is waited for
 };
 
 // Never of equal or higher rank, except work that another team runs beyond its guarantee, of no higher rank, for
