Replicas get room where their image is; some writes are kept for users

Change: a replica's earliest slot is the one where it serves first, fetch included; where that is past the aim for its wait, batch work makes way on a machine that has the image if little is lost. A third of the writes that may be made at once is kept for records that users wait for, and a user's record goes as soon as one may be made; the leader now plans with 0.85 of the service's writes, 0.7 before.

--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -92,13 +92,14 @@
   bool recover(StoreClient& store, std::stop_token stop, std::uint64_t term);
   bool commit(StoreClient& store, std::stop_token stop, Lock& lock);
   bool bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock);
-  // Records that can wait a moment join the next commit, so that many ends cost few writes.
-  enum class Haste { now, soon };
+  // Users are waiting for some records; others can wait a moment and join the next commit, so that many ends cost few
+  // writes.
+  enum class Haste { user, now, soon };
   std::uint64_t enqueue(std::vector<Record> records, Haste haste = Haste::now);
   // Waits until the record with this ticket is in the ledger and applied; false when that is not certain.
   bool wait_applied(Lock& lock, std::uint64_t ticket, double timeout_s);
-  // Waits until a write may be made; what was written is then taken off.
-  void await_write(std::stop_token stop);
+  // Waits until a write may be made; what was written is then taken off. Some of the writes are kept for users.
+  void await_write(Lock& lock, std::stop_token stop, bool for_users);
   void charge_writes(std::size_t changes);
   [[nodiscard]] double write_rate() const;
 
@@ -158,6 +159,7 @@
   };
   std::deque<Queued> queue_;
   std::uint64_t tickets_ = 0, applied_ticket_ = 0;
+  bool users_wait_ = false;  // some of what is queued is a user's
   double commit_at_ = 0;  // steady seconds: when what is queued must go
   std::unordered_map<std::string, std::uint64_t> accepting_;  // uid -> ticket
   bool pass_due_ = false;
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -187,6 +187,7 @@
   follower_since_ = steady_now();
   ++term_number_;
   queue_.clear();
+  users_wait_ = false;
   accepting_.clear();
   early_answers_.clear();
   unserved_.clear();
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 constexpr const char* kLedgerPrefix = "ledger/";
-constexpr double kWriteShare = 0.7;  // of the service's writes that the leader uses
+constexpr double kWriteShare = 0.85;  // of the service's writes that the leader uses
 constexpr double kWriteBurst = 0.7;  // seconds' worth of them that may be made at once
+constexpr double kUsersShare = 0.35; // of those, kept for records that users wait for
 constexpr double kIdleWait = 3600;
 constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
 constexpr std::size_t kEndedInRecord = 100;
@@ -28,8 +29,9 @@
 }  // namespace
 
 std::uint64_t Controller::enqueue(std::vector<Record> records, Haste haste) {
-  const double at = steady_now() + (haste == Haste::now ? 0 : kLingerWrites / write_rate());
+  const double at = steady_now() + (haste == Haste::soon ? kLingerWrites / write_rate() : 0);
   commit_at_ = queue_.empty() ? at : std::min(commit_at_, at);
+  if (haste == Haste::user) users_wait_ = true;
   for (auto& r : records) queue_.push_back({std::move(r), ++tickets_});
   queue_filled_.notify_all();
   return tickets_;
@@ -44,11 +46,19 @@
 
 double Controller::write_rate() const { return settings_.state_write_rps * kWriteShare; }
 
-void Controller::await_write(std::stop_token stop) {
-  const double rate = write_rate(), now = steady_now();
-  write_tokens_ = std::min(std::max(1.0, rate * kWriteBurst), write_tokens_ + (now - write_tokens_at_) * rate);
-  write_tokens_at_ = now;
-  if (write_tokens_ < 1) pause_for(stop, (1 - write_tokens_) / rate);
+void Controller::await_write(Lock& lock, std::stop_token stop, bool for_users) {
+  const auto number = term_number_;
+  const double rate = write_rate(), burst = std::max(1.0, rate * kWriteBurst);
+  while (!stop.stop_requested() && term_number_ == number) {
+    const double now = steady_now();
+    write_tokens_ = std::min(burst, write_tokens_ + (now - write_tokens_at_) * rate);
+    write_tokens_at_ = now;
+    const bool users = for_users || users_wait_;
+    const double enough = users ? 1 : std::max(1.0, burst * kUsersShare);
+    if (write_tokens_ >= enough) return;
+    queue_filled_.wait_for(lock, stop, std::chrono::duration<double>((enough - write_tokens_) / rate),
+                           [&] { return term_number_ != number || (users_wait_ && !users); });
+  }
 }
 
 void Controller::charge_writes(std::size_t changes) { write_tokens_ -= static_cast<double>(changes); }
@@ -138,6 +148,7 @@
   for (const auto& [name, at] : early_answers_) term_->book->host(term_->book->host_named(name)).answered_at = at;
   early_answers_.clear();
   queue_.clear();
+  users_wait_ = false;
   accepting_.clear();
   role_ = Role::leading;
   spdlog::info("ledger read: {} entries, {} live jobs, {:.0f} ms", entries, term_->book->live().size(),
@@ -151,9 +162,7 @@
   const auto number = term_number_;
   const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
   const auto most_puts = std::max<std::size_t>(2, std::min<std::size_t>(settings_.txn_ops - 1, 6));
-  lock.unlock();
-  await_write(stop);
-  lock.lock();
+  await_write(lock, stop, false);
   if (stop.stop_requested() || term_number_ != number || queue_.empty()) return false;
   Term& term = *term_;
   // The newest entry is written anew with more records until it is full; then the next one begins.
@@ -208,6 +217,7 @@
     queue_.pop_front();
   }
   commit_at_ = 0;
+  if (queue_.empty()) users_wait_ = false;
   // A tail already full needs no rewriting.
   if (entries.size() > 1 && entries.front().records.size() == term.tail.size()) entries.erase(entries.begin());
   // The oldest entries in which no job begins any more.
@@ -315,12 +325,13 @@
 // A higher epoch of the same term: commands sent under the lower one are refused by every worker that has seen it.
 bool Controller::bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock) {
   const auto number = term_number_;
+  await_write(lock, stop, true);
+  if (term_number_ != number) return false;
   const auto old = term_->epoch;
   const auto body = txn_body({{kLeaderKey, old}},
                              {{kLeaderKey, leader_value({settings_.label, incarnation_}), term_->hold}}, {});
-  lock.unlock();
-  await_write(stop);
   charge_writes(1);
+  lock.unlock();
   std::uint64_t epoch = 0;
   std::vector<std::string> failed;
   auto status = store.txn(body, epoch, failed);
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -97,6 +97,10 @@
   out.team = job.team;
   out.key = key_of(job.draw, job.spec.expected_s, tuning_.weight, wall - job.accepted_at, out.service);
   out.patience_s = patience_of(job, wall);
+  if (out.service)
+    for (const auto& o : settings_.objectives)
+      if (o.kind == "wait" && o.job_class == job.spec.job_class)
+        out.run_within_s = std::max(0.0, o.within_s - (wall - job.accepted_at));
   out.kinds = job.kinds;
   out.yard = job.yard;
   out.one_zone = job.spec.one_zone;
@@ -316,7 +320,10 @@
   std::set<std::string> starts_count;
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") starts_count.insert(o.job_class);
-  for (const auto& v : choose_victims({book, input, plan, within, wall, starts_count})) {
+  const auto preemption = choose_victims({book, input, plan, within, wall, starts_count});
+  for (const auto& s : preemption.waived)
+    std::erase_if(plan.starts, [&](const Slot& p) { return p.job == s.job && p.host == s.host && p.at == s.at; });
+  for (const auto& v : preemption.victims) {
     Placement* p = book.placement(v.ref);
     stop_task(*p, v.wind_down_s);
     touched.insert(p->host);
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -95,6 +95,11 @@
   return host.lending == PlanHost::Lending::kept || (host.lending == PlanHost::Lending::not_to_services && job.service);
 }
 
+double pull_on(const PlanJob& job, const PlanHost& host) {
+  if (std::find(host.images.begin(), host.images.end(), job.image) != host.images.end()) return 0;
+  return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
+}
+
 bool may_run_on(const PlanJob& job, const PlanHost& host) {
   if (host.loaner && !job.loaners) return false;
   if (job.yard.valid() && host.zone != job.yard) return false;
@@ -135,13 +140,9 @@
   }
 
  private:
-  [[nodiscard]] double pull_s(const PlanJob& job, const PlanHost& host) const {
-    if (std::find(host.images.begin(), host.images.end(), job.image) != host.images.end()) return 0;
-    return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
-  }
   [[nodiscard]] double duration(const PlanJob& job, const PlanHost& host) const {
     // A claim of 0 s still takes room.
-    return job.service ? kForever : std::max(kShortestRun, pull_s(job, host) + job.run_s);
+    return job.service ? kForever : std::max(kShortestRun, pull_on(job, host) + job.run_s);
   }
   // Units that the team's limit lets start now, and units that it lets hold a later slot. What is only held does not
   // count against starts: a long queue of one job must not keep the team's next one from starting.
@@ -167,7 +168,7 @@
   // Lower is better among slots at the same time.
   double cost(PlanJob& job, std::size_t h) {
     const PlanHost& host = in_.hosts[h];
-    double c = pull_s(job, host);
+    double c = pull_on(job, host);
     // Machines with accelerators are left to the work that needs them while there is room elsewhere.
     if (job.need.accelerators == 0 && host.room.accelerators > 0) c += 1000;
     // Spot machines take what may run there, and leave the others to the work that may not.
@@ -187,17 +188,18 @@
     if (borrows(job, host)) lent_[h] -= job.need * units;
     at(job.zone_used, host.zone.v) += units;
     at(job.host_used, h) += units;
-    (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t});
+    (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t, pull_on(job, host)});
   }
 
   void place_units(PlanJob& job) {
     std::uint32_t left = std::min(job.units, startable(job));
     if (left == 0) return;
+    // A replica serves from when its image is there: of its slots the earliest in this sense is taken.
     struct Candidate {
-      double t, cost;
+      double t, serves, cost;
       std::size_t h;
       bool operator<(const Candidate& o) const {
-        return t != o.t ? t > o.t : cost != o.cost ? cost > o.cost : h > o.h;
+        return serves != o.serves ? serves > o.serves : cost != o.cost ? cost > o.cost : h > o.h;
       }
     };
     std::priority_queue<Candidate> queue;
@@ -206,7 +208,7 @@
       if (holds_full() && !job.need.fits(profiles_[h].steps().front().free)) return;
       ++plan_.looks;
       const double t = profiles_[h].earliest(job.need, duration(job, in_.hosts[h]), from);
-      if (t < kForever) queue.push({t, cost(job, h), h});
+      if (t < kForever) queue.push({t, job.service ? t + pull_on(job, in_.hosts[h]) : t, cost(job, h), h});
     };
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
       if (may_run_on(job, in_.hosts[h]) && lends(job, h)) offer(h, in_.now);
@@ -218,7 +220,7 @@
       // What was true when it was offered may be no more: zones fill up, replicas were put there.
       const double again = job.service ? cost(job, c.h) : c.cost;
       if (again > c.cost + 1e-9) {
-        queue.push({c.t, again, c.h});
+        queue.push({c.t, c.serves, again, c.h});
         continue;
       }
       const std::uint32_t used = at(job.zone_used, host.zone.v);
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -51,6 +51,7 @@
   std::vector<std::uint32_t> zone_used;    // by zone: its tasks that may be there
   std::vector<std::uint32_t> host_used;    // by position in PlanInput::hosts; empty: none
   std::vector<HostIdx> avoid;              // hosts it failed on
+  double run_within_s = 0;                 // services: what is left of the aim for their wait; 0: none, or past
   double patience_s = 2;                   // a slot held no later than this is waited for; for later ones work is stopped
 };
 
@@ -73,6 +74,7 @@
   HostIdx host;
   std::uint32_t count = 0;
   double at = 0;
+  double pull_s = 0;  // its image is fetched first
 };
 
 struct Plan {
@@ -90,6 +92,8 @@
 
 // Whether the job's tasks may run there at all, whatever room is free now.
 bool may_run_on(const PlanJob& job, const PlanHost& host);
+// Seconds until the job's image is there; 0 where it is cached.
+double pull_on(const PlanJob& job, const PlanHost& host);
 // Whether what this job takes there counts against what the host lends.
 bool borrows(const PlanJob& job, const PlanHost& host);
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -10,6 +10,7 @@
 
 constexpr double kServiceLoss = 1e6;   // stopping a replica costs its users more than any repeated work
 constexpr double kFreshStart = 30.0;   // a start stopped sooner than this counts for nothing
+constexpr double kImageWorth = 10.0;   // core seconds that may be lost for each that a replica need not wait for its image
 constexpr std::size_t kMostUnits = 64; // units that one pass makes room for
 
 struct Candidate {
@@ -40,7 +41,7 @@
     for (const auto& t : book_.teams()) excess_.push_back(t.used - t.guarantee);
   }
 
-  std::vector<Victim> run() {
+  PreemptionPlan run() {
     std::map<JobIdx, Plan::Unserved> unserved;
     for (const auto& u : in_.plan.unserved) unserved[u.job] = u;
     std::vector<const PlanJob*> order;
@@ -64,7 +65,11 @@
         if (s.job == job->job) zone_count(book_.host(s.host).zone) += s.count;
       units += make_room(*job, std::min<std::size_t>(wanted, kMostUnits - units));
     }
-    return std::move(victims_);
+    for (const auto* job : replicas()) {
+      if (units >= kMostUnits) break;
+      units += move_to_image(*job, kMostUnits - units);
+    }
+    return std::move(out_);
   }
 
  private:
@@ -113,6 +118,7 @@
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.lost < b.lost; });
     Choice choice;
     double lost = job.need.accelerators == 0 && host.room.accelerators > 0 ? 1 : 0;
+    if (job.service) lost += pull_on(job, host) * job.need.cores * kImageWorth;
     for (auto& c : candidates) {
       if (job.need.fits(free)) break;
       free += c.here;
@@ -134,14 +140,55 @@
     return choice;
   }
 
+  // Jobs of services that still can keep the aim for their wait.
+  std::vector<const PlanJob*> replicas() const {
+    std::vector<const PlanJob*> out;
+    for (const auto& j : in_.plan_input.jobs)
+      if (j.service && j.run_within_s > 0) out.push_back(&j);
+    std::stable_sort(out.begin(), out.end(), [](const PlanJob* a, const PlanJob* b) { return a->tier > b->tier; });
+    return out;
+  }
+
+  // Replicas that would serve too late because their image must be fetched get room where it is cached, when little
+  // work is lost for that (lienzo and kaubaalus grown, steady: one in seven waited for its image).
+  std::size_t move_to_image(const PlanJob& job, std::size_t most) {
+    std::size_t made = 0;
+    zones_ = job.zone_used;
+    std::vector<const Slot*> late;
+    for (const auto* slots : {&in_.plan.starts, &in_.plan.holds}) {
+      for (const auto& s : *slots) {
+        if (s.job != job.job) continue;
+        zone_count(book_.host(s.host).zone) += s.count;
+        if (s.at - in_.wall + s.pull_s > job.run_within_s) late.push_back(&s);
+      }
+    }
+    for (const auto* s : late) {
+      if (made >= most) break;
+      auto& there = zone_count(book_.host(s->host).zone);
+      --there;
+      const double gain = (s->at - in_.wall + s->pull_s) * job.need.cores * kImageWorth;
+      if (make_room(job, 1, gain, true) == 0) {
+        ++there;
+        continue;
+      }
+      ++made;
+      if (s->at > in_.wall) continue;
+      out_.waived.push_back(*s);
+      if (auto it = free_.find(s->host); it != free_.end()) it->second += job.need;
+    }
+    return made;
+  }
+
   // Room for up to `wanted` units, the cheapest first; returns for how many. Each machine is looked at once, and again
   // only when it is its turn: what it costs there can only have grown.
-  std::size_t make_room(const PlanJob& job, std::size_t wanted) {
+  std::size_t make_room(const PlanJob& job, std::size_t wanted, double most_lost = kForever, bool cached = false) {
     using Entry = std::pair<double, std::size_t>;
     std::priority_queue<Entry, std::vector<Entry>, std::greater<>> queue;
     const auto& hosts = in_.plan_input.hosts;
-    for (std::size_t i = 0; i < hosts.size(); ++i)
-      if (const auto choice = choice_on(job, hosts[i]); choice.lost < kForever) queue.emplace(choice.lost, i);
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (cached && pull_on(job, hosts[i]) > 0) continue;
+      if (const auto choice = choice_on(job, hosts[i]); choice.lost < most_lost) queue.emplace(choice.lost, i);
+    }
     std::size_t made = 0;
     while (made < wanted && !queue.empty()) {
       const std::size_t i = queue.top().second;
@@ -166,7 +213,7 @@
       const Job& victim = book_.job(c.job);
       for (const auto& ref : c.refs) {
         taken_.insert(ref);
-        victims_.push_back({ref, victim.spec.snapshot_every_s > 0 ? victim.spec.snapshot_s : 0});
+        out_.victims.push_back({ref, victim.spec.snapshot_every_s > 0 ? victim.spec.snapshot_s : 0});
         const auto& p = victim.placed.at(ref.task);
         if (auto it = free_.find(p.host); it != free_.end()) it->second += victim.spec.need;
         if (victim.team.valid()) excess_[victim.team.v] -= victim.spec.need;
@@ -207,11 +254,11 @@
   std::vector<Resources> excess_;
   std::vector<std::uint32_t> zones_;
   std::set<PieceRef> taken_;
-  std::vector<Victim> victims_;
+  PreemptionPlan out_;
 };
 
 }  // namespace
 
-std::vector<Victim> choose_victims(const PreemptionInput& in) { return Chooser(in).run(); }
+PreemptionPlan choose_victims(const PreemptionInput& in) { return Chooser(in).run(); }
 
 }  // namespace thistle
--- a/src/coordination/preemption.hpp
+++ b/src/coordination/preemption.hpp
@@ -24,6 +24,10 @@
 
 // Never of equal or higher rank, except work that another team runs beyond its guarantee, of no higher rank, for
 // work within a guarantee. Least useful work lost first; all of a gang or none.
-std::vector<Victim> choose_victims(const PreemptionInput& in);
+struct PreemptionPlan {
+  std::vector<Victim> victims;
+  std::vector<Slot> waived;  // starts of the plan that are not made: their units wait for the room that is made instead
+};
+PreemptionPlan choose_victims(const PreemptionInput& in);
 
 }  // namespace thistle
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -149,7 +149,7 @@
     const std::string uid = s.uid;
     std::vector<Record> records;
     records.emplace_back(AcceptRecord{std::move(s), draw, wall_now()});
-    ticket = enqueue(std::move(records));
+    ticket = enqueue(std::move(records), Haste::user);
     accepting_.emplace(uid, ticket);
     s.uid = uid;
   }
@@ -188,7 +188,7 @@
     return error_reply(503, kUnavailable, kRetryAfter);
   std::vector<Record> records;
   records.emplace_back(CancelRecord{uid});
-  const auto ticket = enqueue(std::move(records));
+  const auto ticket = enqueue(std::move(records), Haste::user);
   if (!wait_applied(lock, ticket, kCommitWait) || !decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   const Job& job = term_->book->job(j);
   poke_placed(job);
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -48,7 +48,7 @@
     in.jobs.push_back(p);
     in.teams.assign(2, TeamRoom{{1e9, 1e9, 1e9}});
     const Plan plan = make_plan(in);
-    return choose_victims({book, in, plan, within, 1000, {}});
+    return choose_victims({book, in, plan, within, 1000, {}}).victims;
   }
   Book book;
 };
@@ -79,5 +79,44 @@
   EXPECT_TRUE(claim(mine, {mine}).empty());
 }
 
+// Lienzo and kaubaalus grown, steady: replicas started on machines that had room but not their image, and served only
+// when it was fetched. A little batch work makes way where the image is; much does not.
+TEST_F(Preemption, AReplicaGetsRoomWhereItsImageIsWhenLittleWorkIsLost) {
+  book.describe(book.host_named("m-2"), "", "big", "y", false);
+  const auto batch = add("j-1", "red", Shape::batch, Rank::standard, 4, 4);
+  const auto mine = add("j-2", "blue", Shape::service, Rank::prod, 1, 0);
+  for (const double ran : {1.0, 500.0}) {
+    for (auto& [task, p] : book.job(batch).placed) p.running_at = 1000 - ran;
+    PlanInput in;
+    in.now = 1000;
+    for (const char* name : {"m-1", "m-2"}) {
+      PlanHost h;
+      h.host = book.find_host(name);
+      h.kind = book.kind_of("big");
+      h.zone = book.host(h.host).zone;
+      h.room = {4, 0, 32};
+      h.fetch_gb_per_s = 0.2;
+      for (const auto& ref : book.host(h.host).placed) h.occupants.push_back({book.job(ref.job).spec.need, 1030});
+      in.hosts.push_back(h);
+    }
+    in.hosts[0].images = {ImageIdx{7}};
+    PlanJob p;
+    p.job = mine;
+    p.units = 1;
+    p.service = true;
+    p.need = {1, 0, 1};
+    p.pull_gb = 1;
+    p.image = ImageIdx{7};
+    p.run_within_s = 2;
+    in.jobs.push_back(p);
+    const Plan plan = make_plan(in);
+    ASSERT_EQ(plan.starts.size(), 1u);
+    EXPECT_EQ(plan.starts[0].host, in.hosts[1].host);
+    const auto out = choose_victims({book, in, plan, {}, 1000, {}});
+    EXPECT_EQ(out.victims.size(), ran < 10 ? 1u : 0u);
+    EXPECT_EQ(out.waived.size(), out.victims.size());
+  }
+}
+
 }  // namespace
 }  // namespace thistle
