Spot accelerator machines for batch, a quicker takeover, no join under the lock

Change: machines with accelerators are rented for other work when nothing cheaper is to be had, and spot ones that no accelerator work may use are kept for none. Ledger pages are parsed once. Ended routines are joined when they need the lock no more. Accepted sockets leave room for those that the leader opens.

--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -100,10 +100,10 @@
   return std::nullopt;
 }
 
-Resources Book::accelerator_need(KindIdx k) const {
+Resources Book::accelerator_need(KindIdx k, bool loaner) const {
   Resources most;
   for (KindIdx key : {k, KindIdx{}}) {
-    auto it = accelerator_needs_.find(key);
+    auto it = accelerator_needs_.find({key, loaner});
     if (it == accelerator_needs_.end()) continue;
     most.cores = std::max(most.cores, it->second.cores);
     most.accelerators = std::max(most.accelerators, it->second.accelerators);
@@ -128,10 +128,13 @@
   job.waiting = r.job.pieces;
   if (job.spec.need.accelerators > 0) {
     const auto note = [&](KindIdx k) {
-      auto& most = accelerator_needs_[k];
-      most.cores = std::max(most.cores, job.spec.need.cores);
-      most.accelerators = std::max(most.accelerators, job.spec.need.accelerators);
-      most.ram_gb = std::max(most.ram_gb, job.spec.need.ram_gb);
+      for (const bool loaner : {false, true}) {
+        if (loaner && !job.spec.loaners) continue;
+        auto& most = accelerator_needs_[{k, loaner}];
+        most.cores = std::max(most.cores, job.spec.need.cores);
+        most.accelerators = std::max(most.accelerators, job.spec.need.accelerators);
+        most.ram_gb = std::max(most.ram_gb, job.spec.need.ram_gb);
+      }
     };
     for (auto k : job.kinds) note(k);
     if (job.kinds.empty()) note(KindIdx{});
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -152,8 +152,8 @@
   [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
   [[nodiscard]] TeamIdx team_of(std::string_view name) const { return team_names_.find(name); }
 
-  // The largest task with accelerators accepted so far that may run on this kind; zero when none.
-  [[nodiscard]] Resources accelerator_need(KindIdx k) const;
+  // The largest task with accelerators accepted so far that may run on this kind, spot or not; zero when none.
+  [[nodiscard]] Resources accelerator_need(KindIdx k, bool loaner) const;
 
   // A job as it is now, as records that replace all earlier ones about it. Records are kept short: one covers tasks
   // from `from` on until it holds `most_items` ranges, and moves `from` behind them; the job is covered when `from`
@@ -191,7 +191,8 @@
   std::unordered_map<std::string, HostIdx> by_name_;
   std::vector<Flavor> flavors_;
   std::vector<int> flavor_of_kind_;
-  std::map<KindIdx, Resources> accelerator_needs_;  // kind not valid: jobs that may use any
+  // By kind (not valid: jobs that may use any), and whether the machine is a spot one.
+  std::map<std::pair<KindIdx, bool>, Resources> accelerator_needs_;
 };
 
 }  // namespace thistle
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -250,7 +250,6 @@
         const KindIdx k = book.kind_of(f.name);
         if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), k) == job.kinds.end()) continue;
         if (!job.spec.need.fits(f.room)) continue;
-        if (job.spec.need.accelerators == 0 && f.room.accelerators > 0) continue;
         double per = f.room.cores / std::max(job.spec.need.cores, 0.01);
         if (job.spec.need.ram_gb > 0) per = std::min(per, f.room.ram_gb / job.spec.need.ram_gb);
         if (job.spec.need.accelerators > 0) per = std::min(per, f.room.accelerators / job.spec.need.accelerators);
@@ -266,6 +265,7 @@
         }
       }
       if (options.empty()) continue;
+      // The cheapest first; machines with accelerators, dear without use for these, only when nothing else is to be had.
       const auto& best = *std::min_element(options.begin(), options.end(),
                                            [](auto& a, auto& b) { return a.price < b.price; });
       // Renting pays only for what has no slot before the machine is up.
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -12,7 +12,7 @@
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 31) ^ device();
 }
-constexpr std::size_t kMostCallsToAPeer = 24;
+constexpr std::size_t kMostCallsToAPeer = 12;
 }  // namespace
 
 Controller::Controller(Settings settings, Tuning tuning)
@@ -28,10 +28,11 @@
 
 void Controller::run(std::stop_token stop) {
   const auto sockets = static_cast<std::size_t>(settings_.max_sockets);
-  // Sockets are shared between clients, peers and what this process opens itself (a connection for each worker).
-  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, std::min<std::size_t>(sockets / 8, 128),
+  // Sockets are shared between clients, peers and what this process opens itself: a connection for each worker, and
+  // those to the state service, without which it can't lead. What is accepted must leave room for them.
+  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, std::max<std::size_t>(sockets / 16, 8),
                                                 [this](const Frame& f) { return on_frame(f); });
-  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, sockets * 3 / 5,
+  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, sockets * 11 / 20,
                                               [this](const HttpCall& c) { return on_http(c); });
   duties_.emplace_back([this](std::stop_token st) { ledger_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -119,6 +119,7 @@
     bool poked = false;
     bool greet = false;
     double not_before = 0;
+    std::atomic<bool> finished{false};  // its thread needs the lock no more
     std::jthread thread;
   };
   void poke(HostIdx h, bool greet = false);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -108,15 +108,16 @@
       Lock lock(mutex_);
       if (term_number_ != number || stop.stop_requested()) return false;
     }
-    RowPage page;
-    if (store.list(kLedgerPrefix, from, page) != StoreStatus::ok) {
+    EntryPage page;
+    if (store.entries(kLedgerPrefix, from, page) != StoreStatus::ok) {
       if (!pause_for(stop, 0.2)) return false;
       continue;
     }
     for (const auto& row : page.rows) {
       try {
         const auto n = std::stoull(row.key.substr(std::string(kLedgerPrefix).size()));
-        const auto entry = parse_entry(row.value);
+        if (!row.unreadable.empty()) throw Malformed(row.unreadable);
+        const auto& entry = row.entry;
         for (const auto& r : entry.records) {
           book->apply(r);
           if (std::holds_alternative<FlavorsRecord>(r)) rewriter.begins(n, JobIdx{});
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -33,10 +33,10 @@
     if (stop.stop_requested()) return;
     pass_due_ = false;
     double took = 0;
-    if (decisive()) {
-      took = pass(lock);
-      ended_duties_.clear();
-    }
+    if (decisive()) took = pass(lock);
+    // Duties of an earlier term are joined only when they need the lock no more: a join under it of one that did
+    // stopped the whole controller for good (kaubaalus grown, rough: no leader for 65 s).
+    std::erase_if(ended_duties_, [](const auto& d) { return d->finished.load(); });
     lock.unlock();
     // A pass holds the lock that reports and submissions wait for: the rest of the time is theirs.
     if (!pause_for(stop, std::max(tuning_.pass_period_s, kRestAfterPass * took))) return;
@@ -163,7 +163,7 @@
     if (demand.machines < 0.1) continue;
     std::vector<PlanHost*> hosts;
     for (auto& h : in.hosts)
-      if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);
+      if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);  // those its work may use
     std::stable_sort(hosts.begin(), hosts.end(),
                      [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
     // A spare one only where an aim leaves no time for tasks that borrowed it to end.
@@ -190,7 +190,7 @@
     p.loaner = host.loaner;
     p.room = flavor->room;
     p.fetch_gb_per_s = flavor->fetch_gb_per_s;
-    const Resources biggest = book.accelerator_need(host.kind);
+    const Resources biggest = book.accelerator_need(host.kind, host.loaner);
     if (flavor->room.accelerators > 0 && biggest.accelerators > 0 && biggest.fits(flavor->room)) {
       p.lending = PlanHost::Lending::not_to_services;
       p.lent = flavor->room;
@@ -351,8 +351,9 @@
   ++counters_.passes;
   const double took = steady_now() - steady;
   counters_.pass_seconds = counters_.pass_seconds + took;
-  spdlog::debug("pass: {:.1f} ms, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved", took * 1000,
-                input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size());
+  spdlog::debug("pass: {:.1f} ms, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped", took * 1000,
+                input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size(),
+                preemption.victims.size());
   if (!starts.empty()) {
     std::vector<Record> records;
     for (auto& [j, of_job] : starts) {
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -43,9 +43,9 @@
   return parsed(status_of(r), [&] { out = parse_row(r.body); });
 }
 
-StoreStatus StoreClient::list(const std::string& prefix, const std::string& from, RowPage& out) {
+StoreStatus StoreClient::entries(const std::string& prefix, const std::string& from, EntryPage& out) {
   auto r = http_.get(list_path(prefix, from), kListTimeout);
-  return parsed(status_of(r), [&] { out = parse_rows(r.body); });
+  return parsed(status_of(r), [&] { out = parse_entries(r.body); });
 }
 
 StoreStatus StoreClient::txn(const std::string& body, std::uint64_t& rev, std::vector<std::string>& failed) {
--- a/src/coordination/store_client.hpp
+++ b/src/coordination/store_client.hpp
@@ -23,7 +23,7 @@
   explicit StoreClient(const std::string& address) : http_(address) {}
 
   StoreStatus get(const std::string& key, Row& out);
-  StoreStatus list(const std::string& prefix, const std::string& from, RowPage& out);
+  StoreStatus entries(const std::string& prefix, const std::string& from, EntryPage& out);
   // On ok, `rev` is the revision of its changes; on conflict, `failed` names the keys.
   StoreStatus txn(const std::string& body, std::uint64_t& rev, std::vector<std::string>& failed);
   StoreStatus hold(unsigned life_ms, std::uint64_t& out);
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -33,6 +33,7 @@
     duty = std::make_unique<HostDuty>();
     duty->thread = std::jthread([this, h, d = duty.get(), number = term_number_](std::stop_token stop) {
       host_duty(stop, h, d, number);
+      d->finished = true;
     });
   }
   duty->poked = true;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -460,14 +460,6 @@
 }  // namespace
 
 Row parse_row(std::string_view body) { return row_from(parse_object(body)); }
-RowPage parse_rows(std::string_view body) {
-  const json j = parse_object(body);
-  RowPage page;
-  page.truncated = flag_or(j, "truncated", false);
-  page.rev = count(j, "ledgerRev");
-  for (const auto& r : list(j, "rows")) page.rows.push_back(row_from(r));
-  return page;
-}
 std::string leader_value(const LeaderValue& leader) {
   return json{{"label", leader.label}, {"incarnation", leader.incarnation}}.dump();
 }
@@ -555,9 +547,9 @@
 }
 }  // namespace
 
-LedgerEntry parse_entry(std::string_view value) {
+namespace {
+LedgerEntry entry_from(const json& j) {
   try {
-    const json j = parse_object(value);
     LedgerEntry entry;
     entry.seq = count(j, "seq");
     for (const auto& r : list(j, "records")) entry.records.push_back(record_from(r));
@@ -566,5 +558,27 @@
     throw Malformed(std::string("ledger entry: ") + e.what());
   }
 }
+}  // namespace
+
+LedgerEntry parse_entry(std::string_view value) { return entry_from(parse_object(value)); }
+
+EntryPage parse_entries(std::string_view body) {
+  const json j = parse_object(body);
+  EntryPage page;
+  page.truncated = flag_or(j, "truncated", false);
+  for (const auto& r : list(j, "rows")) {
+    EntryPage::Row row;
+    row.key = text(r, "path");
+    try {
+      const json& value = need(r, "value");
+      if (!value.is_object()) bad("value", "not an object");
+      row.entry = entry_from(value);
+    } catch (const Malformed& e) {
+      row.unreadable = e.what();
+    }
+    page.rows.push_back(std::move(row));
+  }
+  return page;
+}
 
 }  // namespace thistle
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -85,12 +85,6 @@
   std::uint64_t stamp = 0;
 };
 Row parse_row(std::string_view body);
-struct RowPage {
-  std::vector<Row> rows;
-  bool truncated = false;
-  std::uint64_t rev = 0;
-};
-RowPage parse_rows(std::string_view body);
 std::string leader_value(const LeaderValue& leader);
 LeaderValue parse_leader(std::string_view value);
 
@@ -103,5 +97,16 @@
 // `records` are encoded records joined by commas.
 std::string entry_value(std::uint64_t seq, std::string_view records);
 LedgerEntry parse_entry(std::string_view value);
+// A page of entries, parsed once: reading the ledger is most of what a takeover costs. An entry that can't be read
+// carries the reason.
+struct EntryPage {
+  struct Row {
+    std::string key, unreadable;
+    LedgerEntry entry;
+  };
+  std::vector<Row> rows;
+  bool truncated = false;
+};
+EntryPage parse_entries(std::string_view body);
 
 }  // namespace thistle
