--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -124,6 +124,9 @@
   };
   void poke(HostIdx h, bool greet = false);
   void poke_placed(const Job& job);
+  // Few duties make and read commands at a time; the rest of them would only keep the processor from renewing the hold.
+  // One that waits for a slow worker gives its turn up.
+  void await_turn(Lock& lock, std::stop_token stop);
   void host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t term);
   void absorb(const Report& report, bool by_report);
 
@@ -176,6 +179,8 @@
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
   std::vector<std::unique_ptr<HostDuty>> ended_duties_;
+  std::deque<double> turns_;  // steady seconds until which each turn counts
+  std::condition_variable_any turn_given_;
   struct Bounce {  // steady seconds
     double redirected_at = -1e9, forward_until = 0;
   };
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -177,6 +177,8 @@
   PlanInput in;
   in.now = wall;
   in.overrun_s = tuning_.overrun_s;
+  const auto waits = [&](JobIdx j) { return !book.job(j).ended() && book.job(j).waiting > 0; };
+  if (std::none_of(book.live().begin(), book.live().end(), waits)) return in;
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     const Host& host = book.host(HostIdx{i});
     const Flavor* flavor = book.flavor(host.kind);
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -14,6 +14,7 @@
 constexpr double kReportTimeout = 2.5;    // the worker itself waits 4 s
 constexpr double kOutageGrace = 0.5;      // writes failing for longer: submissions are refused at once
 constexpr std::size_t kMostQueued = 3000; // records waiting for the ledger before submissions are turned away
+constexpr double kSlowCommit = 0.1;
 constexpr int kRetryAfter = 1;
 constexpr double kBeatFresh = 3.0;
 constexpr double kLeaderlessGrace = 6.0;
@@ -75,7 +76,10 @@
     case UserRoute::Kind::withdraw: reply = withdraw(lock, route.uid); break;
     default: return error_reply(404, "no such path");
   }
-  if (reply.status == 503) ++counters_.unavailable;
+  if (reply.status == 503) {
+    ++counters_.unavailable;
+    spdlog::debug("503: {}", decisive() ? "the ledger can't take it now" : "leadership is uncertain");
+  }
   return reply;
 }
 
@@ -88,6 +92,7 @@
 HttpReply Controller::forward(Lock& lock, const HttpCall& call) {
   FramePool* pool = leader_pool();
   lock.unlock();
+  const double asked = steady_now();
   if (pool) {
     const auto answer =
         pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}),
@@ -98,6 +103,8 @@
     }
   }
   ++counters_.unavailable;
+  spdlog::debug("503 after {:.0f} ms: {}", (steady_now() - asked) * 1000,
+                pool ? "the leader does not answer" : "no leader is known");
   return error_reply(503, kUnavailable, kRetryAfter);
 }
 
@@ -154,8 +161,10 @@
     s.uid = uid;
   }
   const auto number = term_number_;
+  const double asked = steady_now();
   if (!wait_applied(lock, ticket, kCommitWait) || term_number_ != number || !decisive())
     return error_reply(503, kUnavailable, kRetryAfter);
+  if (const double took = steady_now() - asked; took > kSlowCommit) spdlog::debug("{}: accepted after {:.0f} ms", s.uid, took * 1000);
   ++counters_.accepted;
   const JobIdx j = term_->book->find(s.uid);
   return j.valid() ? answer_known(j, 201) : error_reply(503, kUnavailable, kRetryAfter);
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -11,6 +11,8 @@
 namespace {
 constexpr double kCommandTimeout = 1.5;
 constexpr double kPauseAfterFailure = 1.5;
+constexpr std::size_t kTurns = 6;
+constexpr double kTurn = 0.15;  // seconds: a worker that takes longer is waited for without a turn
 }  // namespace
 
 void Controller::absorb(const Report& report, bool by_report) {
@@ -47,12 +49,36 @@
   for (auto h : hosts) poke(h);
 }
 
+// Room made for 58 starts at once kept a controller at half speed busy past the end of its hold (lienzo grown, apart).
+void Controller::await_turn(Lock& lock, std::stop_token stop) {
+  for (;;) {
+    const double now = steady_now();
+    std::erase_if(turns_, [&](double until) { return until <= now; });
+    if (stop.stop_requested() || turns_.size() < kTurns) break;
+    turn_given_.wait_for(lock, stop, std::chrono::duration<double>(turns_.front() - now),
+                         [&] { return turns_.size() < kTurns; });
+  }
+  turns_.push_back(steady_now() + kTurn);
+}
+
 void Controller::host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t number) {
   std::unique_ptr<HttpClient> client;
   Lock lock(mutex_);
   while (!stop.stop_requested() && term_number_ == number) {
     duty->wake.wait(lock, stop, [&] { return duty->poked; });
     if (stop.stop_requested() || term_number_ != number) return;
+    await_turn(lock, stop);
+    const double turn = turns_.back();
+    // Given back when this command is dealt with, unless it ran out.
+    struct Turn {
+      Controller& c;
+      double until;
+      ~Turn() {
+        if (auto it = std::find(c.turns_.begin(), c.turns_.end(), until); it != c.turns_.end()) c.turns_.erase(it);
+        c.turn_given_.notify_one();
+      }
+    } given{*this, turn};
+    if (stop.stop_requested() || term_number_ != number) return;
     duty->poked = false;
     Host& host = term_->book->host(h);
     if (host.gone || host.address.empty() || !decisive() || steady_now() < duty->not_before) continue;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -95,14 +95,17 @@
                                                       {"failed", Machine::Status::failed}};
 constexpr Word<Verb> kVerbs[] = {{"run", Verb::run}, {"kill", Verb::kill}, {"reap", Verb::reap}};
 
+template <class Enum, std::size_t N>
+const Enum* find_word(const std::string& s, const Word<Enum> (&words)[N]) {
+  for (const auto& w : words)
+    if (w.text == s) return &w.value;
+  return nullptr;
+}
 template <class Enum, std::size_t N>
 Enum word(const json& m, const char* field, const Word<Enum> (&words)[N]) {
-  if (m.is_string()) {
-    const auto& s = m.get_ref<const std::string&>();
-    for (const auto& w : words)
-      if (w.text == s) return w.value;
-  }
-  bad(field, "not a known value");
+  const Enum* value = m.is_string() ? find_word(m.get_ref<const std::string&>(), words) : nullptr;
+  if (!value) bad(field, "not a known value");
+  return *value;
 }
 template <class Enum, std::size_t N>
 std::string_view spell(Enum value, const Word<Enum> (&words)[N]) {
@@ -111,9 +114,7 @@
   return "";
 }
 
-PieceId parse_piece(const json& m, const char* field) {
-  if (!m.is_string()) bad(field, "not a string");
-  const auto& s = m.get_ref<const std::string&>();
+PieceId split_piece(const std::string& s, const char* field) {
   const auto slash = s.rfind('/');
   if (slash == std::string::npos || slash + 1 >= s.size() || s.size() - slash > 7) bad(field, "not a task");
   std::uint32_t task = 0;
@@ -307,38 +308,162 @@
 
 // ---- workers
 
-Report parse_report(std::string_view body) {
-  const json j = parse_object(body);
-  Report r;
-  r.host = text(j, "host");
-  r.address = text(j, "address");
-  r.kind = text(j, "hostKind");
-  r.yard = text(j, "yard");
-  r.loaner = flag_or(j, "loaners", false);
-  r.tenure = count(j, "tenure");
-  r.serial = count(j, "serial");
-  r.epoch = count(j, "epoch");
-  if (const json* recall = member(j, "recallS")) {
-    if (!recall->is_number()) bad("recallS", "not a number");
-    r.recall_s = std::max(0.0, recall->get<double>());
+namespace {
+
+// Reads a report event by event: a leader reads hundreds a second, and a document built for each would be most of what
+// they cost.
+class ReportReader {
+ public:
+  Report report;
+
+  bool null() { return take({}); }
+  bool boolean(bool v) { return take({.kind = Value::Kind::flag, .flag = v}); }
+  bool number_integer(std::int64_t v) { return take({.kind = Value::Kind::real, .real = static_cast<double>(v)}); }
+  bool number_unsigned(std::uint64_t v) {
+    return take({.kind = Value::Kind::count, .count = v, .real = static_cast<double>(v)});
+  }
+  bool number_float(double v, const std::string&) { return take({.kind = Value::Kind::real, .real = v}); }
+  bool string(std::string& v) { return take({.kind = Value::Kind::text, .text = &v}); }
+  bool binary(std::vector<std::uint8_t>&) { return take({.kind = Value::Kind::other}); }
+
+  bool start_object(std::size_t) {
+    if (depth_ == 0) object_ = true;
+    else if (depth_ == 2 && in_pieces_) piece_ = {}, has_ = {};
+    else if (!take({.kind = Value::Kind::other})) return false;
+    ++depth_;
+    return true;
+  }
+  bool end_object() {
+    --depth_;
+    if (depth_ == 2 && in_pieces_) {
+      if (!has_.piece) bad("piece", "missing");
+      if (!has_.attempt) bad("try", "missing");
+      if (!has_.status) bad("status", "missing");
+      report.pieces.push_back(std::move(piece_));
+    }
+    return true;
+  }
+  bool start_array(std::size_t) {
+    if (depth_ == 1 && key_ == "pieces") in_pieces_ = seen_pieces_ = true, report.pieces.clear();
+    else if (!take({.kind = Value::Kind::other})) return false;
+    ++depth_;
+    return true;
+  }
+  bool end_array() {
+    --depth_;
+    if (depth_ == 1) in_pieces_ = false;
+    return true;
+  }
+  bool key(std::string& k) {
+    if (depth_ == 1 || (depth_ == 3 && in_pieces_)) key_ = k;
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) { return false; }
+
+  void check(bool whole) const {
+    if (!whole) bad("body", "not JSON");
+    if (!object_) bad("body", "not an object");
+    if (report.host.empty()) bad("host", "missing");
+    if (report.address.empty()) bad("address", "missing");
+    if (report.kind.empty()) bad("hostKind", "missing");
+    if (report.yard.empty()) bad("yard", "missing");
+    if (!tenure_) bad("tenure", "missing");
+    if (!serial_) bad("serial", "missing");
+    if (!epoch_) bad("epoch", "missing");
+    if (!seen_pieces_) bad("pieces", "missing");
   }
-  for (const auto& p : list(j, "pieces")) {
-    if (!p.is_object()) bad("pieces", "not objects");
-    ReportedPiece piece;
-    piece.id = parse_piece(need(p, "piece"), "piece");
-    piece.attempt = count(p, "try");
-    piece.phase = word(need(p, "status"), "status", kPhases);
-    if (const json* cause = member(p, "cause")) {
+
+ private:
+  struct Value {
+    enum class Kind { null, flag, count, real, text, other } kind = Kind::null;
+    bool flag = false;
+    std::uint64_t count = 0;
+    double real = 0;
+    std::string* text = nullptr;
+  };
+
+  static std::string as_text(const Value& v, const char* field) {
+    if (v.kind != Value::Kind::text) bad(field, "not a string");
+    if (v.text->empty()) bad(field, "empty");
+    if (v.text->size() > 200) bad(field, "too long");
+    return std::move(*v.text);
+  }
+  static std::uint64_t as_count(const Value& v, const char* field) {
+    if (v.kind == Value::Kind::count) return v.count;
+    if (v.kind == Value::Kind::real && v.real >= 0 && v.real < 9e15 && v.real == std::floor(v.real))
+      return static_cast<std::uint64_t>(v.real);
+    bad(field, "not a count");
+  }
+  static bool as_flag(const Value& v, const char* field) {
+    if (v.kind != Value::Kind::flag) bad(field, "not true or false");
+    return v.flag;
+  }
+
+  bool take(const Value& v) {
+    if (depth_ == 0) return true;  // not an object: check() says so
+    if (depth_ == 2 && in_pieces_) bad("pieces", "not objects");
+    // Nulls are like omissions; what is nested in unknown fields is passed over.
+    if (v.kind == Value::Kind::null) return true;
+    if (depth_ == 1) {
+      of_report(v);
+    } else if (depth_ == 3 && in_pieces_) {
+      of_piece(v);
+    }
+    return true;
+  }
+  void of_report(const Value& v) {
+    if (key_ == "host") report.host = as_text(v, "host");
+    else if (key_ == "address") report.address = as_text(v, "address");
+    else if (key_ == "hostKind") report.kind = as_text(v, "hostKind");
+    else if (key_ == "yard") report.yard = as_text(v, "yard");
+    else if (key_ == "loaners") report.loaner = as_flag(v, "loaners");
+    else if (key_ == "tenure") report.tenure = as_count(v, "tenure"), tenure_ = true;
+    else if (key_ == "serial") report.serial = as_count(v, "serial"), serial_ = true;
+    else if (key_ == "epoch") report.epoch = as_count(v, "epoch"), epoch_ = true;
+    else if (key_ == "pieces") bad("pieces", "not a list");
+    else if (key_ == "recallS") {
+      if (v.kind != Value::Kind::count && v.kind != Value::Kind::real) bad("recallS", "not a number");
+      report.recall_s = std::max(0.0, v.real);
+    }
+  }
+  void of_piece(const Value& v) {
+    if (key_ == "piece") {
+      if (v.kind != Value::Kind::text) bad("piece", "not a string");
+      piece_.id = split_piece(*v.text, "piece");
+      has_.piece = true;
+    } else if (key_ == "try") {
+      piece_.attempt = as_count(v, "try");
+      has_.attempt = true;
+    } else if (key_ == "status") {
+      const auto* phase = v.kind == Value::Kind::text ? find_word(*v.text, kPhases) : nullptr;
+      if (!phase) bad("status", "not a known value");
+      piece_.phase = *phase;
+      has_.status = true;
+    } else if (key_ == "cause") {
       // A cause this version does not know is taken as a failure of the task, never as done.
-      piece.cause = Cause::error;
-      if (cause->is_string())
-        for (const auto& w : kCauses)
-          if (w.text == cause->get_ref<const std::string&>()) piece.cause = w.value;
+      const auto* cause = v.kind == Value::Kind::text ? find_word(*v.text, kCauses) : nullptr;
+      piece_.cause = cause ? *cause : Cause::error;
+    } else if (key_ == "kept") {
+      piece_.kept = as_flag(v, "kept");
     }
-    piece.kept = flag_or(p, "kept", false);
-    r.pieces.push_back(std::move(piece));
   }
-  return r;
+
+  int depth_ = 0;
+  bool object_ = false, in_pieces_ = false, seen_pieces_ = false, tenure_ = false, serial_ = false, epoch_ = false;
+  std::string key_;
+  ReportedPiece piece_;
+  struct {
+    bool piece = false, attempt = false, status = false;
+  } has_;
+};
+
+}  // namespace
+
+Report parse_report(std::string_view body) {
+  ReportReader reader;
+  const bool whole = json::sax_parse(body.begin(), body.end(), &reader);
+  reader.check(whole);
+  return std::move(reader.report);
 }
 
 std::string orders_body(std::uint64_t epoch, const std::vector<Order>& orders) {
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -69,10 +69,32 @@
   for (const char* tail : {R"("pieces":3})", R"("pieces":[{"piece":"j-1","try":2,"status":"running"}]})",
                            R"("pieces":[{"piece":"j-1/99999999","try":2,"status":"running"}]})",
                            R"("pieces":[{"piece":"j-1/1","try":-2,"status":"running"}]})",
-                           R"("pieces":[{"piece":"j-1/1","try":2,"status":"odd"}]})"})
+                           R"("pieces":[{"piece":"j-1/1","try":2,"status":"odd"}]})", R"("pieces":{"a":1}})", R"("pieces":[[]]})",
+                           R"("pieces":[3]})", R"("pieces":[{"piece":"j-1/1","status":"running"}]})", R"("pieces":null})",
+                           R"("pieces":[]},)", R"("loaners":1,"pieces":[]})", R"("recallS":"x","pieces":[]})"})
     EXPECT_THROW(parse_report(head + tail), Malformed) << tail;
 }
 
+TEST(Reports, UnknownFieldsArePassedOverWhateverTheyHold) {
+  const auto r = parse_report(
+      R"({"x":{"host":"no","pieces":[{"piece":"j-9/9"}]},"host":"m","address":"a","hostKind":"k","yard":"z","y":[[{}],3],)"
+      R"("loaners":true,"tenure":1,"serial":2.0,"epoch":3,"recallS":4.5,"pieces":[{"z":{"try":9,"s":[1]},"piece":"j-1/3","try":2,)"
+      R"("status":"exited","cause":"halted","kept":true},{"piece":"j-2/0","try":1,"status":"exited","cause":"new one"}],"w":null})");
+  EXPECT_EQ(r.host, "m");
+  EXPECT_TRUE(r.loaner);
+  EXPECT_EQ(r.serial, 2u);
+  EXPECT_EQ(r.recall_s, 4.5);
+  ASSERT_EQ(r.pieces.size(), 2u);
+  EXPECT_EQ(r.pieces[0].attempt, 2u);
+  EXPECT_EQ(r.pieces[0].cause, Cause::halted);
+  EXPECT_TRUE(r.pieces[0].kept);
+  EXPECT_EQ(r.pieces[1].id.uid, "j-2");
+  EXPECT_EQ(r.pieces[1].cause, Cause::error);
+  EXPECT_FALSE(r.pieces[1].kept);
+  EXPECT_THROW(parse_report("[]"), Malformed);
+  EXPECT_THROW(parse_report("{"), Malformed);
+}
+
 TEST(Ledger, RecordsComeBackAsTheyWere) {
   const auto s = parse_submission(good().dump());
   const std::string text = encode_record(AcceptRecord{s, 0.25, 12.5}) + "," +
