A gang takes the slot where it runs first; silent machines are probed all at once

Change: among a gang's slots the one where it runs first is taken, its longest fetch included, at most 40 looked at behind the first; on accelerator machines room is kept for one more of the widest gang. All silent machines that serve are asked at once, after 2 report periods (2.5 before), and those that do not answer are released in one call.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -18,8 +18,9 @@
 constexpr double kQuiet = 20.0;             // no work waits or runs, services aside, for this long
 constexpr double kIdleWhenQuiet = 20.0;
 constexpr double kIdleWhenBusy = 300.0;
-constexpr double kSilentReports = 2.5;
-constexpr double kSilentSlack = 1.0;
+constexpr double kSilentReports = 2.0;      // then it is asked, so that little is lost by a mistake
+constexpr double kSilentSlack = 0.5;
+constexpr std::size_t kMostProbes = 24;
 constexpr double kProbeTimeout = 1.0;
 constexpr unsigned kPage = 500;
 constexpr unsigned kMostAtOnce = 50;         // in one rental
@@ -174,7 +175,11 @@
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
 // have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
 void Controller::release_silent(HttpClient& cloud) {
-  std::string name, address;
+  struct Probe {
+    std::string name, address;
+    bool answered = false;
+  };
+  std::vector<Probe> probes;
   {
     Lock lock(mutex_);
     if (!decisive()) return;
@@ -184,7 +189,7 @@
     if (now - term_->taken_over_at < settings_.lease_s) return;
     std::size_t silent = 0, heard = 0;
     std::map<ZoneIdx, std::size_t> heard_in;
-    HostIdx found;
+    std::vector<HostIdx> found;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       const Host& host = book.host(HostIdx{i});
       if (!host.reported || host.gone || host.lost) continue;
@@ -197,27 +202,38 @@
       const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
         return book.job(ref.job).spec.shape == Shape::service;
       });
-      if (serves) found = HostIdx{i};
+      if (serves && found.size() < kMostProbes) found.push_back(HostIdx{i});
     }
     // Many at once, or all of a zone, tell of a cut and not of machines.
-    if (!found.valid() || silent > std::max<std::size_t>(1, heard / 10) || heard_in[book.host(found).zone] == 0) return;
-    name = book.host(found).name;
-    address = book.host(found).address;
+    if (silent > std::max<std::size_t>(1, heard / 10)) return;
+    for (HostIdx h : found)
+      if (heard_in[book.host(h).zone] > 0) probes.push_back({book.host(h).name, book.host(h).address});
   }
-  HttpClient worker(address);
-  const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
-  if (r.ok()) {
-    try {
-      const auto report = parse_report(r.body);
-      Lock lock(mutex_);
-      if (role_ == Role::leading && report.host == name) absorb(report, false);
-      return;
-    } catch (const Malformed& e) {
-      spdlog::error("{}: malformed status: {}", name, e.what());
-      return;
+  if (probes.empty()) return;
+  // All at once: with one after the other, the replicas of the last of 13 dead machines waited 20 s (lienzo grown,
+  // troubles).
+  {
+    std::vector<std::jthread> threads;
+    for (auto& p : probes) {
+      threads.emplace_back([this, &p] {
+        HttpClient worker(p.address);
+        const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
+        if (!r.ok()) return;
+        p.answered = true;
+        try {
+          const auto report = parse_report(r.body);
+          Lock lock(mutex_);
+          if (role_ == Role::leading && report.host == p.name) absorb(report, false);
+        } catch (const Malformed& e) {
+          spdlog::error("{}: malformed status: {}", p.name, e.what());
+        }
+      });
     }
   }
-  release(cloud, {name}, "silent");
+  std::vector<std::string> names;
+  for (const auto& p : probes)
+    if (!p.answered) names.push_back(p.name);
+  release(cloud, names, "silent");
 }
 
 void Controller::rent(HttpClient& cloud) {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -174,7 +174,7 @@
   std::set<HostIdx> starting_;  // a start there is on its way into the ledger
   double active_at_ = 0;        // steady seconds: when work last waited or ended
   struct Demand {
-    double machines = 0, at = 0, patience = 1e9;
+    double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -130,7 +130,7 @@
 // (and one more where they are to start at once), but for the room this work leaves. Those that are the most free of such tasks already.
 void Controller::keep_accelerators(PlanInput& in, double steady) {
   const Book& book = *term_->book;
-  std::map<KindIdx, double> needed, patience;
+  std::map<KindIdx, double> needed, patience, widest;
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
     if (job.spec.need.accelerators <= 0 || job.ended()) continue;
@@ -149,7 +149,10 @@
         for (const auto& [k, n] : units) patience[k] = std::min(patience.try_emplace(k, o.within_s).first->second, o.within_s);
     for (const auto& [k, n] : units) {
       const Flavor* f = book.flavor(k);
-      if (f && f->room.accelerators > 0) needed[k] += n * job.spec.need.accelerators / f->room.accelerators;
+      if (!f || f->room.accelerators <= 0) continue;
+      const double machines = n * job.spec.need.accelerators / f->room.accelerators;
+      needed[k] += machines;
+      if (job.spec.shape == Shape::group) widest[k] = std::max(widest[k], machines);
     }
   }
   for (const auto& f : book.flavors()) {
@@ -157,6 +160,7 @@
     const KindIdx k = book.kind_of(f.name);
     auto& demand = accelerator_demand_[k];
     const double faded = demand.machines * std::exp(-(steady - demand.at) / kDemandMemory);
+    demand.widest = std::max(demand.widest * std::exp(-(steady - demand.at) / kDemandMemory), widest[k]);
     demand.machines = std::max(faded, needed[k]);
     demand.at = steady;
     if (auto it = patience.find(k); it != patience.end()) demand.patience = it->second;
@@ -166,8 +170,10 @@
       if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);  // those its work may use
     std::stable_sort(hosts.begin(), hosts.end(),
                      [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
-    // A spare one only where an aim leaves no time for tasks that borrowed it to end.
-    const auto keep = static_cast<std::size_t>(std::ceil(demand.machines)) + (demand.patience < kBorrowed ? 1 : 0);
+    // A spare one only where an aim leaves no time for tasks that borrowed it to end. Gangs over several machines wait
+    // for the last of them: for these there is room for one more of the widest (lienzo grown, steady).
+    const double spare = demand.widest > 1 ? demand.widest : demand.patience < kBorrowed ? 1 : 0;
+    const auto keep = static_cast<std::size_t>(std::ceil(demand.machines + spare));
     for (std::size_t i = 0; i < hosts.size() && i < keep; ++i) hosts[i]->lending = PlanHost::Lending::kept;
   }
 }
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -10,6 +10,7 @@
 
 constexpr double kEstimateFloor = 10.0;
 constexpr double kShortestRun = 1.0;
+constexpr std::size_t kMostTries = 40;  // slots of a gang looked at behind its first
 
 std::uint32_t whole_units(const Resources& need, const Resources& room) {
   double n = 1e6;
@@ -271,7 +272,8 @@
     } else {
       sets.push_back(all);
     }
-    double best = kForever;
+    // A gang runs when the last of its machines has the image: of its slots the one where it runs first is taken.
+    double best = kForever, best_runs = kForever;
     std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
     for (const auto& hosts : sets) {
       double longest = 0;
@@ -292,7 +294,7 @@
         from = t;
         break;
       }
-      if (from >= best || (from > in_.now && holds_full())) continue;
+      if (from >= best_runs || (from > in_.now && holds_full())) continue;
       std::vector<std::pair<double, std::size_t>> ordered;
       for (auto h : hosts) ordered.emplace_back(cost(job, h), h);
       std::sort(ordered.begin(), ordered.end());
@@ -302,13 +304,20 @@
           if (s.at > from) times.push_back(s.at);
       std::sort(times.begin(), times.end());
       times.erase(std::unique(times.begin(), times.end()), times.end());
+      std::size_t tries = 0;
+      bool fitted = false;
       for (double t : times) {
-        if (t >= best) break;
-        if (auto some = fit_at(job, ordered, t, longest); !some.empty()) {
-          best = t;
-          chosen = std::move(some);
-          break;
-        }
+        // Looking further than the first slot is bounded.
+        if (t >= best_runs || (fitted && (++tries > kMostTries || holds_full()))) break;
+        auto some = fit_at(job, ordered, t, longest);
+        if (some.empty()) continue;
+        fitted = true;
+        double pull = 0;
+        for (const auto& [h, n] : some) pull = std::max(pull, pull_on(job, in_.hosts[h]));
+        if (t + pull >= best_runs) continue;
+        best = t;
+        best_runs = t + pull;
+        chosen = std::move(some);
       }
     }
     if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best, best > in_.horizon ? job.units : 0});
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -41,11 +41,13 @@
       while (words >> word) {
         std::string value;
         if (word == "spot") h.loaner = true;
+        else if (word == "image") h.images.push_back(ImageIdx{0});
         else if (words >> value; word == "kind") h.kind = KindIdx{id(kinds, value)};
         else if (word == "zone") h.zone = ZoneIdx{id(zones, value)};
         else if (word == "cores") h.room.cores = std::stod(value);
         else if (word == "gpus") h.room.accelerators = std::stod(value);
         else if (word == "ram") h.room.ram_gb = std::stod(value);
+        else if (word == "fetch") h.fetch_gb_per_s = std::stod(value);
         else ADD_FAILURE() << path << ": " << word;
       }
       t.hosts.push_back(name);
@@ -90,6 +92,7 @@
         if (word == "cores") j.need.cores = std::stod(value);
         else if (word == "gpus") j.need.accelerators = std::stod(value);
         else if (word == "ram") j.need.ram_gb = std::stod(value);
+        else if (word == "pull") j.pull_gb = std::stod(value), j.image = ImageIdx{0};
         else if (word == "run") j.run_s = std::stod(value);
         else if (word == "key") j.key = std::stod(value);
         else if (word == "tier") j.tier = std::stoi(value);
