--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -25,8 +25,6 @@
   if (job.spec.shape == Shape::service) return kServiceLoss;
   double ran = p.running_at > 0 ? std::max(0.0, wall - p.running_at) : 0;
   if (job.spec.snapshot_every_s > 0) ran = std::min(ran, job.spec.snapshot_s);
-  // Nothing else of its job waits: run again, it would hold up the whole job by its length.
-  if (job.spec.shape == Shape::batch && job.waiting == 0) ran += job.spec.expected_s;
   return (ran + (wall - p.at < kFreshStart && starts_count.contains(job.spec.job_class) ? kFreshStart : 0)) * std::max(job.spec.need.cores, 0.1);
 }
 
