--- a/tests/planner_scale_test.cpp
+++ b/tests/planner_scale_test.cpp
@@ -26,7 +26,7 @@
     h.room = i % 3 == 0 ? Resources{8, 0, 32} : i % 3 == 1 ? Resources{32, 0, 128} : Resources{64, 8, 384};
     h.fetch_gb_per_s = 0.2;
     Resources left = h.room;
-    while (some(6) != 0) {
+    while (some(25) != 0) {
       const Resources need{1.0 + some(4), 0, 2.0 + some(8)};
       if (!need.fits(left)) break;
       left -= need;
@@ -56,7 +56,7 @@
     if (j.service) j.zone_cap = (j.units + 1) / 2;
     in.jobs.push_back(j);
   }
-  in.teams.assign(2, TeamRoom{{3000, 300, 1e9}});
+  in.teams.assign(2, TeamRoom{{9000, 300, 1e9}});
   return in;
 }
 
@@ -107,7 +107,7 @@
         given[s.job] += s.count;
       }
     }
-    for (const auto& t : team) EXPECT_TRUE(t.fits({3000, 300, 1e9}));
+    for (const auto& t : team) EXPECT_TRUE(t.fits({9000, 300, 1e9}));
     for (const auto& [j, n] : given) {
       const PlanJob& job = in.jobs[j.v];
       EXPECT_LE(n, job.units);
