--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -20,6 +20,7 @@
 constexpr double kIdleWhenBusy = 300.0;
 constexpr double kSilentReports = 2.0;      // then it is asked, so that little is lost by a mistake
 constexpr double kSilentSlack = 0.5;
+constexpr double kSettleReports = 4.0;
 constexpr double kBatchPatience = 1.5;
 constexpr std::size_t kMostProbes = 24;
 constexpr double kProbeTimeout = 1.0;
@@ -186,8 +187,8 @@
     if (!decisive()) return;
     Book& book = *term_->book;
     const double now = steady_now();
-    // After a takeover, workers still find their way to this leader.
-    if (now - term_->taken_over_at < settings_.lease_s) return;
+    // After a takeover, workers still find their way to this leader. Those that have not yet are not counted below.
+    if (now - term_->taken_over_at < kSettleReports * settings_.report_s) return;
     std::size_t silent = 0, heard = 0;
     std::map<ZoneIdx, std::size_t> heard_in;
     std::vector<HostIdx> found;
