--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -16,7 +16,6 @@
 constexpr double kWriteShare = 0.85;  // of the service's writes that the leader uses
 constexpr double kWriteBurst = 0.7;  // seconds' worth of them that may be made at once
 constexpr double kUsersShare = 0.35; // of those, kept for records that users wait for
-constexpr double kIdleWait = 3600;
 constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
 constexpr std::size_t kEndedInRecord = 100;
 constexpr std::size_t kRemovesACommit = 2;
@@ -81,10 +80,13 @@
       const auto due = [&] {
         return term_number_ != number || (term_ && term_->bump_wanted) || (!queue_.empty() && steady_now() >= commit_at_);
       };
-      if (!due()) {
-        const double wait = queue_.empty() ? kIdleWait : commit_at_ - steady_now();
-        queue_filled_.wait_for(lock, stop, std::chrono::duration<double>(std::max(wait, 0.001)), due);
-      }
+      // First for something to write, then for the moment when it must go: with one wait for both, a record that can
+      // wait a little would wait for the next one to come (a gang's end, told late on a quiet machine).
+      queue_filled_.wait(lock, stop, [&] {
+        return term_number_ != number || (term_ && term_->bump_wanted) || !queue_.empty();
+      });
+      if (!stop.stop_requested() && !due())
+        queue_filled_.wait_for(lock, stop, std::chrono::duration<double>(std::max(commit_at_ - steady_now(), 0.001)), due);
       if (stop.stop_requested() || term_number_ != number) break;
       if (!due()) continue;
       if (term_->bump_wanted && !bump_epoch(store, stop, lock)) continue;
