One order of a pass, one test for other zones, one look-up of wait aims; tests share their jobs

From rereading the whole change; behaviour as before. The order by tier and key and the test whether a job is in another zone stood in the planner and in the preemption; the aims for a class's wait were picked out in three places; the time of a slot no one read any more is gone from Plan::Unserved; the silence of a worker and a command's turn are computed once; a rental's name is made where it is used. book_test and rewriter_test take their jobs from tests/jobs.hpp.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -189,13 +189,15 @@
     const double now = steady_now();
     // After a takeover, workers still find their way to this leader. Those that have not yet are not counted below.
     if (now - term_->taken_over_at < kSettleReports * settings_.report_s) return;
+    const double suspicious = kSilentReports * settings_.report_s + kSilentSlack;
     std::size_t silent = 0, heard = 0;
     std::map<ZoneIdx, std::size_t> heard_in;
     std::vector<HostIdx> found;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       const Host& host = book.host(HostIdx{i});
       if (!host.reported || host.gone || host.lost) continue;
-      if (now - host.reported_at < kSilentReports * settings_.report_s + kSilentSlack) {
+      const double silence = now - host.reported_at;
+      if (silence < suspicious) {
         ++heard;
         ++heard_in[host.zone];
         continue;
@@ -206,8 +208,7 @@
       });
       // Other work is worth a little more patience, but not that of the whole lease: its deadlines are shorter (kaubaalus
       // grown, apart: 13 machines hang for 50 s).
-      const double silence = now - host.reported_at;
-      const bool overdue = !host.placed.empty() && silence > kBatchPatience * (kSilentReports * settings_.report_s + kSilentSlack);
+      const bool overdue = !host.placed.empty() && silence > kBatchPatience * suspicious;
       if ((serves || overdue) && found.size() < kMostProbes) found.push_back(HostIdx{i});
     }
     // Many at once, or all of a zone, tell of a cut and not of machines.
@@ -306,9 +307,9 @@
       if (kind == best.flavor->name && yard == *best.yard && loaner == best.loaner)
         count = std::min(count + wanted, kMostAtOnce);
     }
-    // The epoch is of this term alone, so no other controller or process ever uses the name again.
-    if (count > 0) rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
     if (kind.empty()) return;
+    // The epoch is of this term alone, so no other controller or process ever uses the name again.
+    rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
   }
   const auto r = cloud.post(kRentPath, rent_body(rental, kind, yard, loaner, count), kCloudTimeout);
   Lock lock(mutex_);
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -109,6 +109,8 @@
   PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
   void keep_accelerators(PlanInput& in, double steady);
+  // The aims for the wait of this class, as the settings name them.
+  std::vector<double> wait_aims(const std::string& job_class) const;
   double patience_of(const Job& job, double wall) const;
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
@@ -126,7 +128,7 @@
   void poke_placed(const Job& job);
   // Few duties make and read commands at a time; the rest of them would only keep the processor from renewing the hold.
   // One that waits for a slow worker gives its turn up.
-  void await_turn(Lock& lock, std::stop_token stop);
+  double await_turn(Lock& lock, std::stop_token stop);
   void host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t term);
   void absorb(const Report& report, bool by_report);
 
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -70,14 +70,20 @@
   return within;
 }
 
+std::vector<double> Controller::wait_aims(const std::string& job_class) const {
+  std::vector<double> out;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == job_class) out.push_back(o.within_s);
+  return out;
+}
+
 // How long a slot may be waited for before other work is stopped: until the aim for the wait of its class, or, when
 // that is past, until its deadline can just be kept. Services are wanted at once.
 double Controller::patience_of(const Job& job, double wall) const {
   const double waited = wall - job.accepted_at;
   if (job.spec.shape == Shape::service) return kPatience;
-  for (const auto& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == job.spec.job_class && waited < o.within_s)
-      return std::max(kPatience / 4, o.within_s - waited - kPatience / 4);
+  for (double within_s : wait_aims(job.spec.job_class))
+    if (waited < within_s) return std::max(kPatience / 4, within_s - waited - kPatience / 4);
   if (job.spec.due_s) return std::max(kPatience, *job.spec.due_s - waited - job.spec.expected_s);
   return kPatience;
 }
@@ -98,9 +104,8 @@
   out.key = key_of(job.draw, job.spec.expected_s, tuning_.weight, wall - job.accepted_at, out.service);
   out.patience_s = patience_of(job, wall);
   if (out.service)
-    for (const auto& o : settings_.objectives)
-      if (o.kind == "wait" && o.job_class == job.spec.job_class)
-        out.run_within_s = std::max(0.0, o.within_s - (wall - job.accepted_at));
+    for (double within_s : wait_aims(job.spec.job_class))
+      out.run_within_s = std::max(0.0, within_s - (wall - job.accepted_at));
   out.kinds = job.kinds;
   out.yard = job.yard;
   out.one_zone = job.spec.one_zone;
@@ -144,9 +149,8 @@
           if (job.spec.need.fits(f.room)) units[book.kind_of(f.name)] += job.waiting;
       }
     }
-    for (const auto& o : settings_.objectives)
-      if (o.kind == "wait" && o.job_class == job.spec.job_class)
-        for (const auto& [k, n] : units) patience[k] = std::min(patience.try_emplace(k, o.within_s).first->second, o.within_s);
+    for (double within_s : wait_aims(job.spec.job_class))
+      for (const auto& [k, n] : units) patience[k] = std::min(patience.try_emplace(k, within_s).first->second, within_s);
     for (const auto& [k, n] : units) {
       const Flavor* f = book.flavor(k);
       if (!f || f->room.accelerators <= 0) continue;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -96,6 +96,16 @@
   return host.lending == PlanHost::Lending::kept || (host.lending == PlanHost::Lending::not_to_services && job.service);
 }
 
+bool goes_before(const PlanJob& a, const PlanJob& b) {
+  return a.tier != b.tier ? a.tier > b.tier : a.key > b.key;
+}
+
+bool elsewhere(const std::vector<std::uint32_t>& by_zone, ZoneIdx zone) {
+  for (std::size_t z = 0; z < by_zone.size(); ++z)
+    if (z != zone.v && by_zone[z] > 0) return true;
+  return false;
+}
+
 double pull_on(const PlanJob& job, const PlanHost& host) {
   if (std::find(host.images.begin(), host.images.end(), job.image) != host.images.end()) return 0;
   return host.fetch_gb_per_s > 0 ? job.pull_gb / host.fetch_gb_per_s : 0;
@@ -126,9 +136,7 @@
   Plan run() {
     std::vector<const PlanJob*> order;
     for (const auto& job : in_.jobs) order.push_back(&job);
-    std::stable_sort(order.begin(), order.end(), [](const PlanJob* a, const PlanJob* b) {
-      return a->tier != b->tier ? a->tier > b->tier : a->key > b->key;
-    });
+    std::stable_sort(order.begin(), order.end(), [](const auto* a, const auto* b) { return goes_before(*a, *b); });
     for (const auto* next : order) {
       PlanJob job = *next;
       if (job.gang && job.units > 1) {
@@ -213,7 +221,7 @@
     };
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
       if (may_run_on(job, in_.hosts[h]) && lends(job, h)) offer(h, in_.now);
-    Plan::Unserved unserved{job.job, 0, kForever, 0};
+    Plan::Unserved unserved{job.job, 0, 0};
     while (left > 0 && !queue.empty()) {
       const Candidate c = queue.top();
       queue.pop();
@@ -226,7 +234,7 @@
       }
       const std::uint32_t used = at(job.zone_used, host.zone.v);
       if (used >= job.zone_cap || !lends(job, c.h)) continue;
-      if (job.one_zone && zone_taken(job, host.zone)) continue;
+      if (job.one_zone && elsewhere(job.zone_used, host.zone)) continue;
       std::uint32_t n = std::min(left, job.zone_cap - used);
       n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
       if (job.service) n = std::min(n, 1u);
@@ -234,10 +242,7 @@
       const bool now = c.t <= in_.now;
       n = std::min(n, now ? startable(job) : holdable(job));
       if (n == 0) continue;
-      if (!now) {
-        unserved.earliest = std::min(unserved.earliest, c.t);
-        if (holds_full()) break;
-      }
+      if (!now && holds_full()) break;
       record(job, c.h, n, c.t);
       charge(job, n, now);
       left -= n;
@@ -250,12 +255,6 @@
     if (unserved.units > 0) plan_.unserved.push_back(unserved);
   }
 
-  static bool zone_taken(const PlanJob& job, ZoneIdx zone) {
-    for (std::size_t z = 0; z < job.zone_used.size(); ++z)
-      if (z != zone.v && job.zone_used[z] > 0) return true;
-    return false;
-  }
-
   // All units at the first time when they fit together, in one zone where the job asks for it.
   void place_gang(PlanJob& job) {
     if (startable(job) < job.units) return;
@@ -268,7 +267,7 @@
       for (auto h : all) zones = std::max<std::size_t>(zones, in_.hosts[h].zone.v + 1);
       sets.resize(zones);
       for (auto h : all)
-        if (!zone_taken(job, in_.hosts[h].zone)) sets[in_.hosts[h].zone.v].push_back(h);
+        if (!elsewhere(job.zone_used, in_.hosts[h].zone)) sets[in_.hosts[h].zone.v].push_back(h);
     } else {
       sets.push_back(all);
     }
@@ -320,7 +319,7 @@
         chosen = std::move(some);
       }
     }
-    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best, best > in_.horizon ? job.units : 0});
+    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best > in_.horizon ? job.units : 0});
     if (best == kForever || (best > in_.now && holds_full())) return;
     for (auto [h, n] : chosen) record(job, h, n, best);
     charge(job, job.units, best <= in_.now);
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -83,7 +83,6 @@
   struct Unserved {          // units with no slot now, for renting
     JobIdx job;
     std::uint32_t units = 0;
-    double earliest = kForever;
     std::uint32_t late = 0;  // of them, those without a slot before the horizon
   };
   std::vector<Unserved> unserved;
@@ -94,6 +93,10 @@
 bool may_run_on(const PlanJob& job, const PlanHost& host);
 // Seconds until the job's image is there; 0 where it is cached.
 double pull_on(const PlanJob& job, const PlanHost& host);
+// The order of a pass: the tier, then the key.
+bool goes_before(const PlanJob& a, const PlanJob& b);
+// Whether any of these tasks, counted by zone, is in another zone.
+bool elsewhere(const std::vector<std::uint32_t>& by_zone, ZoneIdx zone);
 // Whether what this job takes there counts against what the host lends.
 bool borrows(const PlanJob& job, const PlanHost& host);
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -47,9 +47,7 @@
     std::vector<const PlanJob*> order;
     for (const auto& j : in_.plan_input.jobs)
       if (unserved.contains(j.job)) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(), [](const PlanJob* a, const PlanJob* b) {
-      return a->tier != b->tier ? a->tier > b->tier : a->key > b->key;
-    });
+    std::stable_sort(order.begin(), order.end(), [](const auto* a, const auto* b) { return goes_before(*a, *b); });
     std::size_t units = 0;
     for (const auto* job : order) {
       if (units >= kMostUnits) break;
@@ -98,10 +96,7 @@
 
   bool allowed(const PlanJob& job, const PlanHost& host) {
     if (!may_run_on(job, host) || zone_count(host.zone) >= job.zone_cap) return false;
-    if (job.one_zone)
-      for (std::size_t z = 0; z < zones_.size(); ++z)
-        if (z != host.zone.v && zones_[z] > 0) return false;
-    return true;
+    return !job.one_zone || !elsewhere(zones_, host.zone);
   }
 
   struct Choice {
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -50,7 +50,7 @@
 }
 
 // Room made for 58 starts at once kept a controller at half speed busy past the end of its hold (lienzo grown, apart).
-void Controller::await_turn(Lock& lock, std::stop_token stop) {
+double Controller::await_turn(Lock& lock, std::stop_token stop) {
   for (;;) {
     const double now = steady_now();
     std::erase_if(turns_, [&](double until) { return until <= now; });
@@ -58,7 +58,7 @@
     turn_given_.wait_for(lock, stop, std::chrono::duration<double>(turns_.front() - now),
                          [&] { return turns_.size() < kTurns; });
   }
-  turns_.push_back(steady_now() + kTurn);
+  return turns_.emplace_back(steady_now() + kTurn);
 }
 
 void Controller::host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t number) {
@@ -67,8 +67,6 @@
   while (!stop.stop_requested() && term_number_ == number) {
     duty->wake.wait(lock, stop, [&] { return duty->poked; });
     if (stop.stop_requested() || term_number_ != number) return;
-    await_turn(lock, stop);
-    const double turn = turns_.back();
     // Given back when this command is dealt with, unless it ran out.
     struct Turn {
       Controller& c;
@@ -77,7 +75,7 @@
         if (auto it = std::find(c.turns_.begin(), c.turns_.end(), until); it != c.turns_.end()) c.turns_.erase(it);
         c.turn_given_.notify_one();
       }
-    } given{*this, turn};
+    } given{*this, await_turn(lock, stop)};
     if (stop.stop_requested() || term_number_ != number) return;
     duty->poked = false;
     Host& host = term_->book->host(h);
--- a/tests/book_test.cpp
+++ b/tests/book_test.cpp
@@ -1,25 +1,17 @@
-// The book: what records do, and that a snapshot rebuilds it.
+// The book: what records do, and that what is written anew rebuilds it.
 #include "bookkeeping/book.hpp"
 
 #include <gtest/gtest.h>
 
 #include "protocol/messages.hpp"
+#include "jobs.hpp"
 
 namespace thistle {
 namespace {
 
-Submission submission(const std::string& uid, std::uint32_t pieces) {
-  Submission s;
-  s.uid = uid;
-  s.owner = "red";
-  s.job_class = "c";
-  s.bundle = "i";
-  s.pieces = pieces;
-  s.need = {2, 0, 1};
-  return s;
-}
+Submission submission(const std::string& uid, std::uint32_t pieces) { return thistle::submission(uid, pieces, 2); }
 
-Book fresh() { return Book({{"red", {}, {10, 0, 0}, {}}}); }
+Book fresh() { return book_of_red(10); }
 
 std::vector<Record> story() {
   return {AcceptRecord{submission("j-1", 4), 0.5, 1},
--- a/tests/rewriter_test.cpp
+++ b/tests/rewriter_test.cpp
@@ -8,22 +8,14 @@
 #include <map>
 #include <random>
 
+#include "jobs.hpp"
+
 namespace thistle {
 namespace {
 
-Submission submission(const std::string& uid, std::uint32_t pieces) {
-  Submission s;
-  s.uid = uid;
-  s.job_class = "c";
-  s.owner = "red";
-  s.pieces = pieces;
-  s.need = {1, 0, 1};
-  s.bundle = "img";
-  s.expected_s = 10;
-  return s;
-}
+Submission submission(const std::string& uid, std::uint32_t pieces) { return thistle::submission(uid, pieces, 1); }
 
-Book fresh() { return Book({Team{"red", {}, {1e6, 0, 0}, {}}}); }
+Book fresh() { return book_of_red(1e6); }
 
 void expect_same(const Book& got, const Book& want, unsigned seed) {
   for (std::uint32_t i = 0; i < want.job_count(); ++i) {
