Failures are blamed by evidence: jobs at fault probe, machines are acquitted or tried again

Now bookkeeping/blame judges from the ledger's records, so that a takeover keeps it (a failed end carries its time, a job written anew whether it is suspected). A machine that failed two jobs not suspected, with no success in between, is set aside for 30 s, tried again, and replaced when it fails once more.

--- /dev/null
+++ b/src/bookkeeping/blame.cpp
@@ -0,0 +1,134 @@
+#include "bookkeeping/blame.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+namespace {
+constexpr std::size_t kIndependent = 2;      // machines with nothing else against them that convict a job
+constexpr std::size_t kAnyMachines = 3;      // machines of any kind that do
+constexpr unsigned kFailuresInARow = 4;      // waves of failures on however few machines that do
+constexpr double kWave = 1.0;                // tasks that fail within this many seconds are one wave
+constexpr std::size_t kJobsAgainstHost = 2;
+constexpr double kFirstPause = 2.0, kLongestPause = 60.0;
+constexpr unsigned kMostDoublings = 5;
+constexpr double kAsideAtFirst = 30.0;
+constexpr double kAvoidFor = 60.0;
+constexpr std::size_t kMostRemembered = 8;   // machines remembered of a job
+}  // namespace
+
+void Blame::failed(JobIdx j, HostIdx h, double at, bool sound) {
+  auto& job = jobs_[j];
+  job.failed_on[h] = at;
+  if (job.failed_on.size() > kMostRemembered) {
+    const auto oldest = std::min_element(job.failed_on.begin(), job.failed_on.end(),
+                                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    job.failed_on.erase(oldest);
+  }
+  if (sound) {
+    against_host(j, h, at);
+    return;
+  }
+  if (at > job.last_at + kWave) ++job.failures;
+  job.last_at = at;
+  if (job.suspect) {
+    // Tasks of one wave fail together: only a try made after the pause makes the next one longer.
+    if (at < job.not_before) return;
+    job.probes = std::min(job.probes + 1, kMostDoublings);
+    job.not_before = at + std::min(kLongestPause, kFirstPause * static_cast<double>(1u << job.probes));
+    return;
+  }
+  // A machine on which others fail as well says little about this job.
+  const auto independent = std::count_if(job.failed_on.begin(), job.failed_on.end(), [&](const auto& f) {
+    const auto it = hosts_.find(f.first);
+    return it == hosts_.end() || it->second.failed.size() - it->second.failed.count(j) == 0;
+  });
+  if (static_cast<std::size_t>(independent) >= kIndependent || job.failed_on.size() >= kAnyMachines ||
+      job.failures >= kFailuresInARow) {
+    job.suspect = true;
+    job.not_before = at + kFirstPause;
+    news_.push_back({News::What::suspected, j, {}, job.failed_on.size(), job.not_before});
+    for (const auto& f : job.failed_on) for_host(j, f.first);
+    return;
+  }
+  against_host(j, h, at);
+}
+
+void Blame::succeeded(JobIdx j, HostIdx h) {
+  if (auto it = hosts_.find(h); it != hosts_.end()) {
+    auto& host = it->second;
+    if (!host.failed.empty()) host.failed.erase(host.failed.begin());
+    if (host.aside_until > 0) {
+      // It does work: one more such judgement is needed before it is set aside again.
+      host.aside_until = 0;
+      host.failed.clear();
+      news_.push_back({News::What::acquitted, j, h, host.times_aside, 0});
+    }
+  }
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return;
+  auto& job = it->second;
+  job.failures = 0;
+  if (!job.suspect) return;
+  job.suspect = false;
+  job.probes = 0;
+  job.not_before = 0;
+  news_.push_back({News::What::cleared, j, {}, job.failed_on.size(), 0});
+  // So it was the machines.
+  for (const auto& [failed_on, at] : job.failed_on)
+    if (failed_on != h) against_host(j, failed_on, at);
+}
+
+void Blame::forget(JobIdx j, bool sound) {
+  const auto it = jobs_.find(j);
+  if (it == jobs_.end()) return;
+  if (!sound)
+    for (const auto& f : it->second.failed_on) for_host(j, f.first);
+  jobs_.erase(it);
+}
+
+void Blame::against_host(JobIdx j, HostIdx h, double at) {
+  auto& host = hosts_[h];
+  host.failed.insert(j);
+  if (host.failed.size() < kJobsAgainstHost || host.aside_until > at) return;
+  host.aside_until = at + kAsideAtFirst * static_cast<double>(1u << std::min(host.times_aside, kMostDoublings));
+  ++host.times_aside;  // what counted against it still does: tried again, its next failure tells
+  news_.push_back({News::What::set_aside, j, h, host.times_aside, host.aside_until});
+}
+
+void Blame::for_host(JobIdx j, HostIdx h) {
+  const auto it = hosts_.find(h);
+  if (it == hosts_.end() || it->second.failed.erase(j) == 0) return;
+  if (it->second.aside_until == 0 || it->second.failed.size() >= kJobsAgainstHost) return;
+  // What it was set aside for was the job's fault.
+  it->second.aside_until = 0;
+  if (it->second.times_aside > 0) --it->second.times_aside;
+  news_.push_back({News::What::acquitted, j, h, it->second.times_aside, 0});
+}
+
+bool Blame::suspect(JobIdx j) const {
+  const auto it = jobs_.find(j);
+  return it != jobs_.end() && it->second.suspect;
+}
+
+double Blame::not_before(JobIdx j) const {
+  const auto it = jobs_.find(j);
+  return it == jobs_.end() ? 0 : it->second.not_before;
+}
+
+std::vector<HostIdx> Blame::avoided(JobIdx j, double wall) const {
+  std::vector<HostIdx> out;
+  if (const auto it = jobs_.find(j); it != jobs_.end())
+    for (const auto& [h, at] : it->second.failed_on)
+      if (wall - at < kAvoidFor) out.push_back(h);
+  return out;
+}
+
+bool Blame::set_aside(HostIdx h, double wall) const {
+  const auto it = hosts_.find(h);
+  return it != hosts_.end() && it->second.aside_until > wall;
+}
+
+bool Blame::given_up(HostIdx h, double wall) const { return set_aside(h, wall) && hosts_.at(h).times_aside >= 2; }
+
+}  // namespace thistle
--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -123,7 +123,7 @@
   if (!r.job.yard.empty()) job.yard = zones_.intern(r.job.yard);
   for (const auto& k : r.job.host_kinds) job.kinds.push_back(kinds_.intern(k));
   job.draw = r.draw;
-  job.accepted_at = job.waiting_since = r.at;
+  job.accepted_at = r.at;
   job.tasks.assign(r.job.pieces, TaskState::waiting);
   job.waiting = r.job.pieces;
   if (job.spec.need.accelerators > 0) {
@@ -186,6 +186,7 @@
   Job& job = jobs_[j.v];
   for (const auto& range : ranges) {
     for (std::uint32_t t = range.first; t < range.last && t < job.tasks.size(); ++t) {
+      if (const auto it = job.placed.find(t); it != job.placed.end()) blame_.succeeded(j, it->second.host);
       unplace(j, t);
       if (job.tasks[t] == TaskState::done) continue;
       job.tasks[t] = TaskState::done;
@@ -206,10 +207,10 @@
     live_.pop_back();
   }
   // An ended job needs only its name and how it ended.
+  blame_.forget(j, job.done > 0);
   job.spec = {};
   job.tasks = {};
   job.kinds = {};
-  job.failed_on.clear();
 }
 
 void Book::apply(const Record& record) {
@@ -247,7 +248,9 @@
   for (const auto& range : r.tasks) {
     for (std::uint32_t t = range.first; t < range.last; ++t) {
       auto it = jobs_[j.v].placed.find(t);
-      if (it != jobs_[j.v].placed.end() && it->second.attempt == r.attempt) unplace(j, t);
+      if (it == jobs_[j.v].placed.end() || it->second.attempt != r.attempt) continue;
+      if (r.failed_at > 0) blame_.failed(j, it->second.host, r.failed_at, jobs_[j.v].done > 0);
+      unplace(j, t);
     }
   }
   settle(j);
@@ -289,6 +292,7 @@
   }
   Job& job = jobs_[j.v];
   if (!r.more) job.partly_read = false;
+  if (r.suspect) blame_.suspect_as_read(j);
   job.attempts = std::max(job.attempts, r.attempts);
   if (!r.done.empty()) mark_done(j, r.done);
   for (const auto& p : r.placed) {
@@ -325,6 +329,7 @@
   JobRecord r;
   r.from = from;
   r.accept = {job.spec, job.draw, job.accepted_at};
+  r.suspect = blame_.suspect(j);
   r.attempts = job.attempts;
   std::size_t items = 0;
   const auto add = [&](Ranges& ranges, std::uint32_t task) {
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/blame.hpp"
 #include "protocol/types.hpp"
 
 namespace thistle {
@@ -44,12 +45,6 @@
   std::map<std::uint32_t, Placement> placed;
   std::uint32_t done = 0, waiting = 0;
   bool partly_read = false;  // records with its other tasks follow in the ledger: it is not settled before them
-  // Learned, not in the ledger:
-  std::set<HostIdx> failed_on;
-  unsigned failures = 0;
-  double not_before = 0;   // wall seconds: backing off
-  double waiting_since = 0;
-
   [[nodiscard]] bool ended() const { return status == JobStatus::done || status == JobStatus::aborted; }
   [[nodiscard]] std::uint32_t running() const;
 };
@@ -93,8 +88,6 @@
   // Direct commands with a start that were sent and not answered: until the worker is seen under a higher epoch,
   // they may yet be executed.
   std::uint64_t in_flight_epoch = 0, doubt_epoch = 0;
-  std::set<JobIdx> failed_jobs;
-  bool set_aside = false;
   double no_room_until = 0;      // steady seconds
   // From the cloud's list:
   bool listed = false;
@@ -148,6 +141,10 @@
   [[nodiscard]] const std::string& zone_name(ZoneIdx z) const { return zones_.name(z); }
   [[nodiscard]] std::size_t zone_count() const { return zones_.size(); }
 
+  // Which jobs and machines are at fault for failures.
+  [[nodiscard]] Blame& blame() { return blame_; }
+  [[nodiscard]] const Blame& blame() const { return blame_; }
+
   std::vector<Team>& teams() { return teams_; }
   [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
   [[nodiscard]] TeamIdx team_of(std::string_view name) const { return team_names_.find(name); }
@@ -191,6 +188,7 @@
   std::unordered_map<std::string, HostIdx> by_name_;
   std::vector<Flavor> flavors_;
   std::vector<int> flavor_of_kind_;
+  Blame blame_;
   // By kind (not valid: jobs that may use any), and whether the machine is a spot one.
   std::map<std::pair<KindIdx, bool>, Resources> accelerator_needs_;
 };
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -142,7 +142,7 @@
 }
 
 void Controller::release_machines(HttpClient& cloud) {
-  std::vector<std::string> dead, idle;
+  std::vector<std::string> dead, idle, faulty;
   {
     Lock lock(mutex_);
     if (!decisive()) return;
@@ -162,6 +162,12 @@
         dead.push_back(host.name);
         continue;
       }
+      // Failed once more after it was tried again: another machine in its place serves better.
+      if (host.placed.empty() && !starting_.contains(HostIdx{i}) && book.blame().given_up(HostIdx{i}, wall_now())) {
+        host.leaving = true;
+        faulty.push_back(host.name);
+        continue;
+      }
       const bool unused = host.placed.empty() && !starting_.contains(HostIdx{i}) && host.idle_since > 0;
       const bool wanted = !quiet && !unserved_.empty();
       if (host.leaving || (unused && !wanted && now - host.idle_since > idle_limit)) {
@@ -172,6 +178,7 @@
   }
   release(cloud, dead, "dead");
   release(cloud, idle, "idle");
+  release(cloud, faulty, "faulty");
 }
 
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -1,6 +1,7 @@
 #include "coordination/dealings.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace thistle {
 
@@ -10,8 +11,7 @@
 constexpr double kClockDrift = 0.001;
 constexpr double kExpiryMargin = 0.3;
 constexpr double kNoRoomPause = 3.0;
-constexpr double kLongestBackoff = 60.0;
-constexpr std::size_t kFailuresToSetAside = 2;
+constexpr double kProven = 15.0;  // a replica that has served for this long shows that its job and its machine work
 // Orders in one message: well inside 64 KiB.
 constexpr std::size_t kMostOrders = 400;
 
@@ -23,10 +23,11 @@
     r.uid = book.job(ref.job).uid;
     add_to(r.tasks, ref.task);
   }
-  void off(const Book& book, PieceRef ref, std::uint64_t attempt) {
-    auto& r = off_[{ref.job, attempt}];
+  void off(const Book& book, PieceRef ref, std::uint64_t attempt, double failed_at = 0) {
+    auto& r = off_[{ref.job, attempt, failed_at > 0}];
     r.uid = book.job(ref.job).uid;
     r.attempt = attempt;
+    r.failed_at = failed_at;
     add_to(r.tasks, ref.task);
   }
   std::vector<Record> take() {
@@ -38,34 +39,13 @@
 
  private:
   std::map<JobIdx, DoneRecord> done_;
-  std::map<std::pair<JobIdx, std::uint64_t>, OffRecord> off_;
+  std::map<std::tuple<JobIdx, std::uint64_t, bool>, OffRecord> off_;
 };
 
 bool owned(const Placement* p, HostIdx h, std::uint64_t tenure, std::uint64_t attempt) {
   return p && p->host == h && p->tenure == tenure && p->attempt == attempt;
 }
 
-void note_failure(Book& book, HostIdx h, JobIdx j, Cause cause, Moment now) {
-  Host& host = book.host(h);
-  Job& job = book.job(j);
-  if (cause == Cause::no_room || cause == Cause::busy) {
-    host.no_room_until = now.steady + kNoRoomPause;
-    return;
-  }
-  if (cause != Cause::error && cause != Cause::unknown) return;
-  ++job.failures;
-  job.failed_on.insert(h);
-  // A job that fails on several machines is at fault itself: it backs off, and does not count against them.
-  if (job.failed_on.size() >= 2) {
-    job.not_before = now.wall + std::min(kLongestBackoff, 2.0 * static_cast<double>(1u << std::min(job.failures, 5u)));
-    for (auto other : job.failed_on) book.host(other).failed_jobs.erase(j);
-    job.failed_on.clear();
-  } else {
-    host.failed_jobs.insert(j);
-    if (host.failed_jobs.size() >= kFailuresToSetAside) host.set_aside = true;
-  }
-}
-
 }  // namespace
 
 void stop_task(Placement& p, double wind_down_s) {
@@ -129,14 +109,18 @@
       p->phase = piece.phase;
       if (piece.phase == Phase::running && p->running_at == 0) p->running_at = now.wall;
     }
+    if (piece.phase == Phase::running && book.blame().suspect(ref.job) && now.wall - p->running_at > kProven &&
+        book.job(ref.job).spec.shape == Shape::service)
+      book.blame().succeeded(ref.job, h);
     if (piece.phase != Phase::exited || p->closing) continue;
     p->closing = true;
     out.changed = true;
     if (piece.cause == Cause::done) {
       ends.done(book, ref);
     } else {
-      ends.off(book, ref, p->attempt);
-      note_failure(book, h, ref.job, piece.cause, now);
+      const bool failed = piece.cause == Cause::error || piece.cause == Cause::unknown;
+      ends.off(book, ref, p->attempt, failed ? now.wall : 0);
+      if (piece.cause == Cause::no_room || piece.cause == Cause::busy) host.no_room_until = now.steady + kNoRoomPause;
     }
   }
   std::sort(host.pieces.begin(), host.pieces.end(),
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -60,6 +60,29 @@
   }
 }
 
+void Controller::tell_blame() {
+  Book& book = *term_->book;
+  for (const auto& n : book.blame().take_news()) {
+    const std::string& uid = book.job(n.job).uid;
+    const double pause = std::max(0.0, n.until - wall_now());
+    switch (n.what) {
+      case Blame::News::What::suspected:
+        ++counters_.suspected;
+        spdlog::info("{}: suspected, it failed on {} machines and succeeded on none; tries with one task", uid, n.count);
+        break;
+      case Blame::News::What::cleared: spdlog::info("{}: no longer suspected, a task of it succeeded", uid); break;
+      case Blame::News::What::set_aside:
+        ++counters_.set_aside;
+        spdlog::info("{}: set aside for {:.0f} s, several jobs failed there, the last one {}", book.host(n.host).name,
+                     pause, uid);
+        break;
+      case Blame::News::What::acquitted:
+        spdlog::info("{}: in use again, by what is known now of {}", book.host(n.host).name, uid);
+        break;
+    }
+  }
+}
+
 void Controller::charge_writes(std::size_t changes) { write_tokens_ -= static_cast<double>(changes); }
 
 void Controller::ledger_duty(std::stop_token stop) {
@@ -153,6 +176,7 @@
   queue_.clear();
   users_wait_ = false;
   accepting_.clear();
+  term_->book->blame().take_news();  // what was judged then was told then
   role_ = Role::leading;
   spdlog::info("ledger read: {} entries, {} live jobs, {:.0f} ms", entries, term_->book->live().size(),
                (steady_now() - began) * 1000);
@@ -318,6 +342,7 @@
     if (std::holds_alternative<FlavorsRecord>(q.record)) term.rewriter.begins(batch_in[i], JobIdx{});
     applied_ticket_ = q.ticket;
   }
+  tell_blame();
   ++counters_.commits;
   counters_.commit_seconds = counters_.commit_seconds + (steady_now() - began);
   applied_.notify_all();
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -93,7 +93,9 @@
   const Job& job = book.job(j);
   PlanJob out;
   out.job = j;
-  out.units = job.waiting;
+  out.suspect = book.blame().suspect(j);
+  // One task shows whether it is still at fault; all of a gang is one.
+  out.units = out.suspect && job.spec.shape != Shape::group ? 1 : job.waiting;
   out.gang = job.spec.shape == Shape::group;
   out.service = job.spec.shape == Shape::service;
   out.need = job.spec.need;
@@ -112,7 +114,7 @@
   out.loaners = job.spec.loaners;
   if (job.spec.spread) out.zone_cap = (job.spec.pieces + 1) / 2;
   out.zone_used.assign(book.zone_count(), 0);
-  out.avoid.assign(job.failed_on.begin(), job.failed_on.end());
+  out.avoid = book.blame().avoided(j, wall);
   if (out.service || job.spec.spread || job.spec.one_zone) {
     for (const auto& [task, p] : job.placed) {
       const ZoneIdx zone = book.host(p.host).zone;
@@ -138,7 +140,7 @@
   std::map<KindIdx, double> needed, patience, widest;
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
-    if (job.spec.need.accelerators <= 0 || job.ended()) continue;
+    if (job.spec.need.accelerators <= 0 || job.ended() || book.blame().suspect(j)) continue;
     std::map<KindIdx, double> units;
     for (const auto& [task, p] : job.placed) units[book.host(p.host).kind] += 1;
     if (job.waiting > 0) {
@@ -192,7 +194,7 @@
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     const Host& host = book.host(HostIdx{i});
     const Flavor* flavor = book.flavor(host.kind);
-    if (!flavor || !host.reported || host.lost || host.gone || host.set_aside) continue;
+    if (!flavor || !host.reported || host.lost || host.gone || book.blame().set_aside(HostIdx{i}, wall)) continue;
     if (host.leaving || host.recall_at || host.no_room_until > steady) continue;
     if (steady - host.reported_at > kSilentReports * settings_.report_s + kDrainSlack) continue;
     PlanHost p;
@@ -256,7 +258,8 @@
   }
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
-    if (job.ended() || job.waiting == 0 || job.not_before > wall) continue;
+    if (job.ended() || job.waiting == 0 || book.blame().not_before(j) > wall) continue;
+    if (book.blame().suspect(j) && !job.placed.empty()) continue;
     // After a takeover a machine's zone is unknown until it is listed or reports: the zones of the job's other
     // tasks must be known before one more is placed (wrong_place).
     if ((job.spec.spread || job.spec.one_zone) &&
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -252,7 +252,7 @@
     }
     unserved.units += left;
     unserved.late += left;
-    if (unserved.units > 0) plan_.unserved.push_back(unserved);
+    if (unserved.units > 0 && !job.suspect) plan_.unserved.push_back(unserved);
   }
 
   // All units at the first time when they fit together, in one zone where the job asks for it.
@@ -319,7 +319,7 @@
         chosen = std::move(some);
       }
     }
-    if (best > in_.now) plan_.unserved.push_back({job.job, job.units, best > in_.horizon ? job.units : 0});
+    if (best > in_.now && !job.suspect) plan_.unserved.push_back({job.job, job.units, best > in_.horizon ? job.units : 0});
     if (best == kForever || (best > in_.now && holds_full())) return;
     for (auto [h, n] : chosen) record(job, h, n, best);
     charge(job, job.units, best <= in_.now);
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -51,6 +51,7 @@
   std::vector<std::uint32_t> zone_used;    // by zone: its tasks that may be there
   std::vector<std::uint32_t> host_used;    // by position in PlanInput::hosts; empty: none
   std::vector<HostIdx> avoid;              // hosts it failed on
+  bool suspect = false;                    // fails wherever it runs: it makes no room and rents nothing
   double run_within_s = 0;                 // services: what is left of the aim for their wait; 0: none, or past
   double patience_s = 2;                   // a slot held no later than this is waited for; for later ones work is stopped
 };
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -605,7 +605,11 @@
       return {"start", r.uid, r.attempt, r.at, std::move(parts)};
     }
     json operator()(const DoneRecord& r) const { return {"done", r.uid, ranges_json(r.tasks)}; }
-    json operator()(const OffRecord& r) const { return {"off", r.uid, r.attempt, ranges_json(r.tasks)}; }
+    json operator()(const OffRecord& r) const {
+      json out{"off", r.uid, r.attempt, ranges_json(r.tasks)};
+      if (r.failed_at > 0) out.push_back(r.failed_at);
+      return out;
+    }
     json operator()(const CancelRecord& r) const { return {"cancel", r.uid}; }
     json operator()(const FlavorsRecord& r) const {
       json flavors = json::array();
@@ -616,7 +620,7 @@
       json placed = json::array();
       for (const auto& p : r.placed) placed.push_back({p.host, p.tenure, p.attempt, p.at, ranges_json(p.tasks)});
       return {"job", accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done),
-              std::move(placed), r.from, r.more};
+              std::move(placed), r.from, r.more, r.suspect};
     }
     json operator()(const EndedRecord& r) const { return {"ended", spell(r.status, kStatuses), r.uids}; }
   };
@@ -644,7 +648,8 @@
   }
   if (kind == "done") return DoneRecord{j.at(1).get<std::string>(), parse_ranges(j.at(2))};
   if (kind == "off")
-    return OffRecord{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), parse_ranges(j.at(3))};
+    return OffRecord{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), parse_ranges(j.at(3)),
+                     j.size() > 4 ? j.at(4).get<double>() : 0.0};
   if (kind == "cancel") return CancelRecord{j.at(1).get<std::string>()};
   if (kind == "flavors") {
     FlavorsRecord r;
@@ -664,6 +669,7 @@
       r.from = j.at(6).get<std::uint32_t>();
       r.more = j.at(7).get<bool>();
     }
+    if (j.size() > 8) r.suspect = j.at(8).get<bool>();
     return r;
   }
   if (kind == "ended")
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -179,6 +179,7 @@
   std::string uid;
   std::uint64_t attempt = 0;
   Ranges tasks;
+  double failed_at = 0;  // wall seconds when these failed; 0: off for another reason
 };
 struct CancelRecord {
   std::string uid;
@@ -202,6 +203,7 @@
   // A job with many ranges comes in several records; each covers tasks from `from` on.
   std::uint32_t from = 0;
   bool more = false;  // further ones follow
+  bool suspect = false;  // it failed wherever it ran
 };
 // Ended jobs need only their name and how they ended.
 struct EndedRecord {
