Calls to the leader wait for a connection and follow it; victims are sought only where any may be

Each follower had 12 calls to the leader, and the 13th was refused at once; in a burst of 25 single tasks a second the leader is a moment late and all are in use. Ruled out: the state service (0 refused), sockets. Besides, passes of 30 to 265 ms in the burst: each of 600 waiting tasks of the lowest rank was offered victims on each of 300 machines, and may stop nothing.

A call now waits for a connection until its time limit; when the leader changes, calls in progress end and are asked once more of the new one, within 1.8 s in all. Answers to polls carry until when they may be given, looked at just before they are sent: the process may have stood still in between. The time since writes failed no longer outlives its term (a new leader refused users for it: "written again, after 72.7 s").

--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -64,7 +64,7 @@
   HttpReply status(Lock& lock, const std::string& uid);
   HttpReply withdraw(Lock& lock, const std::string& uid);
   FramePool* leader_pool();  // nullptr when no peer is known to lead
-  HttpReply forward(Lock& lock, const HttpCall& call);
+  HttpReply forward(Lock& lock, const UserRoute& route, const HttpCall& call);
   HttpReply on_report(std::string_view body, bool forwarded);
   HttpReply health();
   HttpReply metrics();
@@ -101,6 +101,8 @@
   // Waits until a write may be made; what was written is then taken off. Some of the writes are kept for users.
   void await_write(Lock& lock, std::stop_token stop, bool for_users);
   void charge_writes(std::size_t changes);
+  // Tells the operator who was judged to be at fault for failures.
+  void tell_blame();
   [[nodiscard]] double write_rate() const;
 
   // ---- passes (passes.cpp)
@@ -203,7 +205,7 @@
 
   struct Counters {
     std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0},
-        commits{0}, reports{0};
+        commits{0}, reports{0}, suspected{0}, set_aside{0};
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -200,6 +200,7 @@
   }
   host_duties_.clear();
   for (auto& link : links_) link.acked_epoch = 0;
+  store_failing_since_ = 0;  // of the writes of this term: a later one must not refuse users for it
   if (known_leader_ == settings_.label) known_leader_.clear();
   role_changed_.notify_all();
   queue_filled_.notify_all();
@@ -211,7 +212,11 @@
   if (epoch < known_epoch_) return;
   if (epoch > known_epoch_ || known_leader_.empty()) {
     // Until the leader says when it took over, only a raised epoch of the same leader leaves that as it was.
-    if (label != known_leader_) known_takeover_ = epoch;
+    if (label != known_leader_) {
+      known_takeover_ = epoch;
+      // Calls that still wait for the earlier one are better asked of this one.
+      if (FramePool* pool = leader_pool(); pool && !label.empty()) pool->interrupt();
+    }
     if (label != known_leader_ && !label.empty()) spdlog::info("leader is {}, epoch {}", label, epoch);
     known_epoch_ = epoch;
     known_leader_ = label;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <queue>
+#include <tuple>
 
 namespace thistle {
 
@@ -139,7 +140,7 @@
   std::vector<const PlanJob*> replicas() const {
     std::vector<const PlanJob*> out;
     for (const auto& j : in_.plan_input.jobs)
-      if (j.service && j.run_within_s > 0) out.push_back(&j);
+      if (j.service && j.run_within_s > 0 && !j.suspect) out.push_back(&j);
     std::stable_sort(out.begin(), out.end(), [](const PlanJob* a, const PlanJob* b) { return a->tier > b->tier; });
     return out;
   }
@@ -174,9 +175,23 @@
     return made;
   }
 
+  // Whether it may stop anything at all. Hundreds of waiting tasks of the lowest rank, each looked at on every machine,
+  // took most of the passes' time (lienzo ops, a burst of single tasks).
+  bool any_to_stop(const PlanJob& claim) {
+    const Job& job = book_.job(claim.job);
+    const bool within = in_.within_guarantee.contains(claim.job);
+    const auto key = std::tuple(job.spec.rank, within, within ? job.team : TeamIdx{});
+    auto [it, fresh] = stoppable_.try_emplace(key, false);
+    if (fresh)
+      it->second = std::any_of(book_.live().begin(), book_.live().end(),
+                               [&](JobIdx v) { return !book_.job(v).placed.empty() && may_stop(claim, v); });
+    return it->second;
+  }
+
   // Room for up to `wanted` units, the cheapest first; returns for how many. Each machine is looked at once, and again
   // only when it is its turn: what it costs there can only have grown.
   std::size_t make_room(const PlanJob& job, std::size_t wanted, double most_lost = kForever, bool cached = false) {
+    if (!any_to_stop(job)) return 0;
     using Entry = std::pair<double, std::size_t>;
     std::priority_queue<Entry, std::vector<Entry>, std::greater<>> queue;
     const auto& hosts = in_.plan_input.hosts;
@@ -249,6 +264,7 @@
   std::vector<Resources> excess_;
   std::vector<std::uint32_t> zones_;
   std::set<PieceRef> taken_;
+  std::map<std::tuple<Rank, bool, TeamIdx>, bool> stoppable_;
   PreemptionPlan out_;
 };
 
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 constexpr double kCommitWait = 2.0;       // a submission not in the ledger by then is given up on
-constexpr double kForwardTimeout = 2.2;
+constexpr double kForwardTimeout = 1.8;   // users' polls wait 2 s
 constexpr double kReportTimeout = 2.5;    // the worker itself waits 4 s
 constexpr double kOutageGrace = 0.5;      // writes failing for longer: submissions are refused at once
 constexpr std::size_t kMostQueued = 3000; // records waiting for the ledger before submissions are turned away
@@ -35,7 +35,7 @@
     default: break;
   }
   Lock lock(mutex_);
-  if (role_ == Role::follower) return forward(lock, call);
+  if (role_ == Role::follower) return forward(lock, route, call);
   lock.unlock();
   return on_user(route, call.body);
 }
@@ -56,11 +56,12 @@
   }
   if (const auto call = unpack_call(frame)) {
     const UserRoute route = route_of(call->method, call->target);
-    if (route.kind == UserRoute::Kind::report) return pack(on_report(call->body, true));
-    return pack(on_user(route, call->body));
+    const auto reply =
+        route.kind == UserRoute::Kind::report ? on_report(call->body, true) : on_user(route, call->body);
+    return pack(reply, steady_now());
   }
   spdlog::error("malformed frame from a peer, kind {}", frame.kind);
-  return pack(error_reply(400, "malformed frame"));
+  return pack(error_reply(400, "malformed frame"), steady_now());
 }
 
 HttpReply Controller::on_user(const UserRoute& route, std::string_view body) {
@@ -89,22 +90,35 @@
   return nullptr;
 }
 
-HttpReply Controller::forward(Lock& lock, const HttpCall& call) {
-  FramePool* pool = leader_pool();
-  lock.unlock();
-  const double asked = steady_now();
-  if (pool) {
+HttpReply Controller::forward(Lock& lock, const UserRoute& route, const HttpCall& call) {
+  const double began = steady_now();
+  bool known = false;
+  // All that users ask may be asked again: what a leader left unanswered goes to the next one, once, if time remains.
+  for (int tries = 0; tries < 2; ++tries) {
+    FramePool* pool = leader_pool();
+    const std::string leader = known_leader_;
+    const double asked = steady_now(), left = began + kForwardTimeout - asked;
+    if (!pool || left <= 0) break;
+    known = true;
+    lock.unlock();
     const auto answer =
-        pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}),
-                  kForwardTimeout);
-    if (answer) {
-      if (auto reply = unpack_reply(*answer)) return *reply;
-      spdlog::error("malformed answer from the leader");
+        pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}), left);
+    auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
+    if (answer && !reply) spdlog::error("malformed answer from the leader");
+    if (reply && reply->status != 503) return *reply;
+    lock.lock();
+    if (role_ == Role::leading) {
+      lock.unlock();
+      return on_user(route, call.body);
+    }
+    if (known_leader_ == leader || known_leader_.empty()) {
+      if (reply) return *reply;
+      break;
     }
   }
   ++counters_.unavailable;
-  spdlog::debug("503 after {:.0f} ms: {}", (steady_now() - asked) * 1000,
-                pool ? "the leader does not answer" : "no leader is known");
+  spdlog::debug("503 after {:.0f} ms: {}", (steady_now() - began) * 1000,
+                known ? "the leader does not answer" : "no leader is known");
   return error_reply(503, kUnavailable, kRetryAfter);
 }
 
@@ -178,10 +192,17 @@
     return {200, status_body(uid, job.status, job.done, 0)};
   }
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
-  if (!j.valid()) return error_reply(404, "no such job");
-  const Job& job = book.job(j);
-  const auto running = job.running();
-  return {200, status_body(uid, running ? JobStatus::running : JobStatus::queued, job.done, running)};
+  // Both may be outdated once another controller could lead: frozen on the way out, they would come after its answers.
+  HttpReply reply;
+  if (j.valid()) {
+    const Job& job = book.job(j);
+    const auto running = job.running();
+    reply = {200, status_body(uid, running ? JobStatus::running : JobStatus::queued, job.done, running)};
+  } else {
+    reply = error_reply(404, "no such job");
+  }
+  reply.valid_until = term_->valid_until;
+  return reply;
 }
 
 HttpReply Controller::withdraw(Lock& lock, const std::string& uid) {
@@ -240,7 +261,7 @@
     lock.unlock();
     if (pool) {
       const auto answer = pool->ask(pack(PeerCall{"POST", "/v1/report", std::string(body)}), kReportTimeout);
-      auto reply = answer ? unpack_reply(*answer) : std::nullopt;
+      auto reply = answer ? unpack_reply(*answer, now) : std::nullopt;
       lock.lock();
       // Not if a later leader was confirmed meanwhile: nothing is answered under an older epoch from then on.
       if (reply && reply->status == 200 && known_leader_ == steward) return *reply;
@@ -292,6 +313,8 @@
   line("commits_total", counters_.commits.load());
   line("commit_seconds_total", counters_.commit_seconds.load());
   line("reports_total", counters_.reports.load());
+  line("suspected_jobs_total", counters_.suspected.load());
+  line("machines_set_aside_total", counters_.set_aside.load());
   line("ledger_queue", queue_.size());
   if (term_ && term_->book) {
     std::uint64_t waiting = 0, placed = 0;
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -1,8 +1,11 @@
 #include "protocol/peer_messages.hpp"
 
+#include <algorithm>
+
 namespace thistle {
 
 namespace {
+constexpr double kLongestValidity = 1e6;  // seconds; beyond it an answer is valid for good
 Frame frame_of(PeerKind kind, Packer& packer) { return {static_cast<std::uint8_t>(kind), packer.take()}; }
 bool is(const Frame& frame, PeerKind kind) { return frame.kind == static_cast<std::uint8_t>(kind); }
 }  // namespace
@@ -22,10 +25,12 @@
   p.text(call.method).text(call.target).text(call.body);
   return frame_of(PeerKind::call, p);
 }
-Frame pack(const HttpReply& reply) {
+Frame pack(const HttpReply& reply, double now) {
+  const double left = reply.valid_until - now;
   Packer p;
   p.integer(static_cast<std::uint16_t>(reply.status))
       .integer(static_cast<std::uint16_t>(reply.retry_after_s))
+      .integer(left < kLongestValidity ? static_cast<std::uint32_t>(std::max(0.0, left) * 1000) : UINT32_MAX)
       .text(reply.body);
   return frame_of(PeerKind::reply, p);
 }
@@ -56,11 +61,12 @@
   if (!is(frame, PeerKind::call) || !u.done()) return std::nullopt;
   return call;
 }
-std::optional<HttpReply> unpack_reply(const Frame& frame) {
+std::optional<HttpReply> unpack_reply(const Frame& frame, double asked) {
   Unpacker u(frame.payload);
   HttpReply reply;
   reply.status = u.integer<std::uint16_t>();
   reply.retry_after_s = u.integer<std::uint16_t>();
+  if (const auto left_ms = u.integer<std::uint32_t>(); left_ms != UINT32_MAX) reply.valid_until = asked + left_ms / 1000.0;
   reply.body = u.text();
   if (!is(frame, PeerKind::reply) || !u.done()) return std::nullopt;
   return reply;
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -31,10 +31,12 @@
 Frame pack(const Beat& beat);
 Frame pack(const BeatAck& ack);
 Frame pack(const PeerCall& call);
-Frame pack(const HttpReply& reply);
+// What is left of its validity goes along, from the moment of packing (steady seconds).
+Frame pack(const HttpReply& reply, double now);
 std::optional<Beat> unpack_beat(const Frame& frame);
 std::optional<BeatAck> unpack_ack(const Frame& frame);
 std::optional<PeerCall> unpack_call(const Frame& frame);
-std::optional<HttpReply> unpack_reply(const Frame& frame);
+// `asked`: steady seconds before the question was sent, from which its validity counts here.
+std::optional<HttpReply> unpack_reply(const Frame& frame, double asked);
 
 }  // namespace thistle
--- a/src/transport/frames.cpp
+++ b/src/transport/frames.cpp
@@ -1,9 +1,16 @@
 #include "transport/frames.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 #include "transport/clock.hpp"
 
 namespace thistle {
 
+namespace {
+constexpr double kConnectTimeout = 0.5;  // between controllers; a silent one refuses nothing
+}
+
 bool read_frame(Stream& stream, Frame& out, ErrorCode& ec) {
   char header[6];
   if (!stream.read_exact(header, sizeof header, ec)) return false;
@@ -40,45 +47,72 @@
 
 std::optional<Frame> FramePool::ask(const Frame& frame, double timeout_s) {
   const double deadline = steady_now() + timeout_s;
-  std::unique_ptr<Stream> stream;
+  std::uint64_t interrupts = 0;
   {
     std::lock_guard lock(mutex_);
+    interrupts = interrupts_;
+  }
+  auto tried = try_once(frame, deadline, interrupts);
+  if (tried.again) tried = try_once(frame, deadline, interrupts);
+  return std::move(tried.answer);
+}
+
+FramePool::Tried FramePool::try_once(const Frame& frame, double deadline, std::uint64_t interrupts) {
+  std::unique_ptr<Stream> stream;
+  {
+    std::unique_lock lock(mutex_);
+    // Refused at once, 25 submissions a second met 683 refusals within a burst while the leader was a moment late.
+    freed_.wait_for(lock, std::chrono::duration<double>(std::max(0.0, deadline - steady_now())),
+                    [&] { return interrupts_ != interrupts || !idle_.empty() || open_ < most_; });
+    if (interrupts_ != interrupts || (idle_.empty() && open_ >= most_)) return {};
     if (!idle_.empty()) {
       stream = std::move(idle_.back());
       idle_.pop_back();
-    } else if (open_ >= most_) {
-      return std::nullopt;
     } else {
       ++open_;
     }
   }
+  const bool reused = stream != nullptr;
   if (!stream) {
-    Socket s = connect_to(address_, timeout_s);
+    Socket s = connect_to(address_, std::clamp(deadline - steady_now(), 0.0, kConnectTimeout));
     if (s.open()) stream = std::make_unique<Stream>(std::move(s));
   }
+  Tried out;
   Frame answer;
   ErrorCode ec;
   bool ok = false;
   if (stream) {
+    {
+      std::lock_guard lock(mutex_);
+      if (interrupts_ == interrupts) busy_.insert(stream.get());
+    }
     stream->deadline(deadline);
     ok = write_frame(*stream, frame, ec) && read_frame(*stream, answer, ec);
   }
   std::lock_guard lock(mutex_);
-  if (!ok) {
-    --open_;
-    // One broken connection means the others are of no use either: the peer restarted or a cut began.
-    open_ -= idle_.size();
-    idle_.clear();
-    return std::nullopt;
+  if (stream) busy_.erase(stream.get());
+  const bool interrupted = interrupts_ != interrupts;
+  // What was answered while this process stood still is as old as the question.
+  if (ok && steady_now() <= deadline && !interrupted) out.answer = std::move(answer);
+  if (ok && !interrupted) {
+    idle_.push_back(std::move(stream));
+    freed_.notify_one();
+    return out;
   }
-  idle_.push_back(std::move(stream));
-  return answer;
+  out.again = reused && !interrupted && ec != boost::asio::error::timed_out;
+  --open_;
+  // One broken connection means the others are of no use either: the peer restarted or a cut began.
+  open_ -= idle_.size();
+  idle_.clear();
+  freed_.notify_all();
+  return out;
 }
 
-void FramePool::drop_idle() {
+void FramePool::interrupt() {
   std::lock_guard lock(mutex_);
-  open_ -= idle_.size();
-  idle_.clear();
+  ++interrupts_;
+  for (Stream* s : busy_) s->socket().shutdown();
+  freed_.notify_all();
 }
 
 }  // namespace thistle
--- a/src/transport/frames.hpp
+++ b/src/transport/frames.hpp
@@ -1,13 +1,14 @@
 // Frames between controllers: a fixed little-endian header, then the payload. One request at a time on a
 // connection; a pool of kept connections carries many at once.
 #pragma once
-#include <array>
+#include <condition_variable>
 #include <cstdint>
 #include <cstring>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -94,19 +95,29 @@
   Acceptor acceptor_;
 };
 
-// Kept connections to one peer. ask() takes an idle one or opens another, up to the bound.
+// Kept connections to one peer. ask() takes an idle one or opens another, up to the bound, and waits for one beyond it.
 class FramePool {
  public:
   FramePool(std::string address, std::size_t most) : address_(std::move(address)), most_(most) {}
   std::optional<Frame> ask(const Frame& frame, double timeout_s);
-  void drop_idle();
+  // Ends all calls in progress without an answer: there is nothing to wait for there any more.
+  void interrupt();
 
  private:
+  struct Tried {
+    std::optional<Frame> answer;
+    bool again = false;  // a kept connection had gone stale: another may do
+  };
+  Tried try_once(const Frame& frame, double deadline, std::uint64_t interrupts);
+
   std::string address_;
   std::size_t most_;
   std::mutex mutex_;
+  std::condition_variable freed_;
   std::size_t open_ = 0;
   std::vector<std::unique_ptr<Stream>> idle_;
+  std::set<Stream*> busy_;
+  std::uint64_t interrupts_ = 0;
 };
 
 }  // namespace thistle
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -54,6 +54,12 @@
     response.body() = std::move(reply.body);
     response.keep_alive(keep && !reply.close);
     response.prepare_payload();
+    if (steady_now() > reply.valid_until) {
+      response.result(http::status::service_unavailable);
+      response.set(http::field::retry_after, "1");
+      response.body() = R"({"error":"not available now"})";
+      response.prepare_payload();
+    }
     http::write(connection.stream, response, ec);
     if (ec || !response.keep_alive()) return;
     if (buffer.capacity() > 4 * kReadBuffer && buffer.size() == 0) {
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -1,6 +1,7 @@
 // HTTP/1.1 over blocking sockets, with Boost.Beast's parser and serializer.
 #pragma once
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -23,6 +24,9 @@
   int retry_after_s = 0;  // 0: no Retry-After header
   bool close = false;
   std::string_view type = "application/json";
+  // Steady seconds until when it may be given: looked at just before it is sent, for the process may have stood still
+  // since it was made. Later it is a 503.
+  double valid_until = std::numeric_limits<double>::infinity();
 };
 
 class HttpServer {
