Passes no longer look again where a like task found nothing; fewer allocations in passes and reports

With no later slot left to give, each of 600 waiting tasks was looked for on each of 300 machines. A job that needs no less than a like one, for which nothing was free, is now passed over; aims for waits are looked up by class; profiles and reports reserve their room.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -18,6 +18,8 @@
 Controller::Controller(Settings settings, Tuning tuning)
     : settings_(std::move(settings)), tuning_(tuning), incarnation_(random_word() >> 2), random_(random_word()) {
   follower_since_ = steady_now();
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
   for (const auto& p : settings_.peers) {
     links_.push_back({p, std::make_unique<FramePool>(p.address, kMostCallsToAPeer),
                       std::make_unique<FramePool>(p.address, 1), 0});
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -112,7 +112,7 @@
   std::set<JobIdx> within_guarantee() const;
   void keep_accelerators(PlanInput& in, double steady);
   // The aims for the wait of this class, as the settings name them.
-  std::vector<double> wait_aims(const std::string& job_class) const;
+  const std::vector<double>& wait_aims(const std::string& job_class) const;
   double patience_of(const Job& job, double wall) const;
   PlanJob plan_job(JobIdx j, const PlanInput& in, double wall);
   void want_pass();
@@ -174,6 +174,7 @@
   double write_tokens_ = 0, write_tokens_at_ = 0;
   std::mt19937_64 random_;
 
+  std::unordered_map<std::string, std::vector<double>> wait_aims_;  // by job class, as the settings name them
   std::vector<Plan::Unserved> unserved_;
   std::set<HostIdx> starting_;  // a start there is on its way into the ledger
   double active_at_ = 0;        // steady seconds: when work last waited or ended
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -70,11 +70,10 @@
   return within;
 }
 
-std::vector<double> Controller::wait_aims(const std::string& job_class) const {
-  std::vector<double> out;
-  for (const auto& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == job_class) out.push_back(o.within_s);
-  return out;
+const std::vector<double>& Controller::wait_aims(const std::string& job_class) const {
+  static const std::vector<double> none;
+  const auto it = wait_aims_.find(job_class);
+  return it == wait_aims_.end() ? none : it->second;
 }
 
 // How long a slot may be waited for before other work is stopped: until the aim for the wait of its class, or, when
@@ -191,6 +190,7 @@
   in.overrun_s = tuning_.overrun_s;
   const auto waits = [&](JobIdx j) { return !book.job(j).ended() && book.job(j).waiting > 0; };
   if (std::none_of(book.live().begin(), book.live().end(), waits)) return in;
+  in.hosts.reserve(book.host_count());
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     const Host& host = book.host(HostIdx{i});
     const Flavor* flavor = book.flavor(host.kind);
@@ -210,7 +210,9 @@
       p.lent = flavor->room;
       for (Resources left = flavor->room; biggest.fits(left); left -= biggest) p.lent -= biggest;
     }
+    p.images.reserve(host.images.size());
     for (const auto& image : host.images) p.images.push_back(image.first);
+    p.occupants.reserve(host.placed.size());
     // Occupants that end at about the same time are taken together: they make one step of the profile.
     const auto occupy = [&](const Resources& need, double until) {
       if (until != kForever) until = std::ceil(until / kTimeGrain) * kTimeGrain;
@@ -333,8 +335,7 @@
   unserved_ = plan.unserved;
   // What is stopped here makes room that later passes give out, highest tier first.
   std::set<std::string> starts_count;
-  for (const auto& o : settings_.objectives)
-    if (o.kind == "wait") starts_count.insert(o.job_class);
+  for (const auto& [job_class, aims] : wait_aims_) starts_count.insert(job_class);
   const auto preemption = choose_victims({book, input, plan, within, wall, starts_count});
   for (const auto& s : preemption.waived)
     std::erase_if(plan.starts, [&](const Slot& p) { return p.job == s.job && p.host == s.host && p.at == s.at; });
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <queue>
 
 namespace thistle {
@@ -10,6 +11,7 @@
 
 constexpr double kEstimateFloor = 10.0;
 constexpr double kShortestRun = 1.0;
+constexpr std::size_t kSpareSteps = 6;  // of a profile, for what the pass puts there
 constexpr std::size_t kMostTries = 40;  // slots of a gang looked at behind its first
 
 std::uint32_t whole_units(const Resources& need, const Resources& room) {
@@ -36,6 +38,7 @@
     free -= o.need;
   }
   std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.until < b.until; });
+  steps_.reserve(ends.size() + kSpareSteps);
   steps_.push_back({now, free});
   for (const auto& o : ends) {
     if (o.until == kForever) break;
@@ -203,6 +206,10 @@
   void place_units(PlanJob& job) {
     std::uint32_t left = std::min(job.units, startable(job));
     if (left == 0) return;
+    if (holds_full() && hopeless(job)) {
+      if (!job.suspect) plan_.unserved.push_back({job.job, job.units, job.units});
+      return;
+    }
     // A replica serves from when its image is there: of its slots the earliest in this sense is taken.
     struct Candidate {
       double t, serves, cost;
@@ -250,6 +257,7 @@
       if (c.t > in_.horizon) unserved.late += n;
       offer(c.h, c.t);
     }
+    if (left > 0 && holds_full()) note_hopeless(job);
     unserved.units += left;
     unserved.late += left;
     if (unserved.units > 0 && !job.suspect) plan_.unserved.push_back(unserved);
@@ -344,6 +352,33 @@
     return {};
   }
 
+  // With no later slot left to give, a job for which a like one, that needed no more, found nothing free finds nothing
+  // either: room that is free now only shrinks within a pass. Bursts of hundreds of single tasks, each looked for on
+  // each machine, took most of the planning (lienzo ops).
+  struct Kin {
+    std::vector<KindIdx> kinds;
+    ZoneIdx yard;
+    bool loaners;
+    auto operator<=>(const Kin&) const = default;
+  };
+  static bool plain(const PlanJob& job) {
+    return !job.service && job.avoid.empty() && job.zone_cap == UINT32_MAX && !job.one_zone && job.need.accelerators == 0;
+  }
+  bool hopeless(const PlanJob& job) const {
+    if (!plain(job)) return false;
+    const auto it = hopeless_.find({job.kinds, job.yard, job.loaners});
+    if (it == hopeless_.end()) return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const Resources& r) {
+      return job.need.cores >= r.cores && job.need.ram_gb >= r.ram_gb;
+    });
+  }
+  void note_hopeless(const PlanJob& job) {
+    if (!plain(job) || startable(job) == 0) return;
+    auto& needs = hopeless_[{job.kinds, job.yard, job.loaners}];
+    std::erase_if(needs, [&](const Resources& r) { return r.cores >= job.need.cores && r.ram_gb >= job.need.ram_gb; });
+    needs.push_back(job.need);
+  }
+
   [[nodiscard]] bool holds_full() const { return plan_.holds.size() >= in_.most_holds; }
   [[nodiscard]] bool lends(const PlanJob& job, std::size_t h) const {
     return !borrows(job, in_.hosts[h]) || job.need.fits(lent_[h]);
@@ -354,6 +389,7 @@
   std::vector<Resources> lent_;
   std::vector<TeamRoom> teams_;
   std::vector<Resources> held_;
+  std::map<Kin, std::vector<Resources>> hopeless_;
   Plan plan_;
 };
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <queue>
 #include <tuple>
+#include <unordered_map>
 
 namespace thistle {
 
@@ -43,11 +44,11 @@
   }
 
   PreemptionPlan run() {
-    std::map<JobIdx, Plan::Unserved> unserved;
+    std::unordered_map<JobIdx, Plan::Unserved> unserved;
     for (const auto& u : in_.plan.unserved) unserved[u.job] = u;
     std::vector<const PlanJob*> order;
     for (const auto& j : in_.plan_input.jobs)
-      if (unserved.contains(j.job)) order.push_back(&j);
+      if (unserved.contains(j.job) && any_to_stop(j)) order.push_back(&j);
     std::stable_sort(order.begin(), order.end(), [](const auto* a, const auto* b) { return goes_before(*a, *b); });
     std::size_t units = 0;
     for (const auto* job : order) {
@@ -191,7 +192,6 @@
   // Room for up to `wanted` units, the cheapest first; returns for how many. Each machine is looked at once, and again
   // only when it is its turn: what it costs there can only have grown.
   std::size_t make_room(const PlanJob& job, std::size_t wanted, double most_lost = kForever, bool cached = false) {
-    if (!any_to_stop(job)) return 0;
     using Entry = std::pair<double, std::size_t>;
     std::priority_queue<Entry, std::vector<Entry>, std::greater<>> queue;
     const auto& hosts = in_.plan_input.hosts;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -459,8 +459,11 @@
 
 }  // namespace
 
+constexpr std::size_t kPieceBytes = 60;  // about, of one piece in a report
+
 Report parse_report(std::string_view body) {
   ReportReader reader;
+  reader.report.pieces.reserve(body.size() / kPieceBytes);
   const bool whole = json::sax_parse(body.begin(), body.end(), &reader);
   reader.check(whole);
   return std::move(reader.report);
