A leader that only other controllers' workers reach hands over; sound machines are not released

Its commands failed, the epoch was raised every second to fence them, its probes failed too, and it released 40 sound machines as silent, services and all. isolated() wants all peers lost as well.

Each machine now carries when it was heard by this controller itself. When reports come by way of peers only and a few machines asked do not answer, the leader decides nothing more, lets what is queued go into the ledger, gives its hold back and stands back for 15 s, longer when it comes to that again within two minutes. Only a leader that hears most machines itself judges which are silent. After a change of leader, followers forget who could not reach the earlier one, and send greeted workers there first.

--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -75,6 +75,7 @@
   std::uint64_t tenure = 0, serial = 0, epoch_seen = 0;
   bool reported = false;         // has reported to this leader
   double reported_at = 0;        // steady seconds
+  double direct_at = 0;          // steady seconds: heard by this controller itself, not by way of another
   double answered_at = 0;        // steady seconds: the latest report of it that this leader answered
   // Steady seconds: when it, in its present tenure, was first known to have seen this leader's epoch.
   double fenced_at = 0;
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -20,10 +20,12 @@
 constexpr double kIdleWhenBusy = 300.0;
 constexpr double kSilentReports = 2.0;      // then it is asked, so that little is lost by a mistake
 constexpr double kSilentSlack = 0.5;
+constexpr double kDirectReports = 1.6;      // report periods within which one that reaches it has been heard
 constexpr double kSettleReports = 4.0;
 constexpr double kBatchPatience = 1.5;
 constexpr std::size_t kMostProbes = 24;
 constexpr double kProbeTimeout = 1.0;
+constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
 constexpr unsigned kMostAtOnce = 50;         // in one rental
 
@@ -54,6 +56,7 @@
     if (leading && now - flavors_at > kFlavorsPeriod && learn_flavors(cloud)) flavors_at = now;
     if (leading && now - listed_at > std::max(1.0, settings_.list_lag_s / 2) && list_machines(cloud)) listed_at = now;
     if (deciding) {
+      watch_workers();
       release_silent(cloud);
       release_machines(cloud);
       if (tuning_.rent) rent(cloud);
@@ -183,27 +186,70 @@
 
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
 // have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
+void Controller::probe(std::vector<Probe>& probes) {
+  // All at once: with one after the other, the replicas of the last of 13 dead machines waited 20 s (lienzo grown,
+  // troubles).
+  std::vector<std::jthread> threads;
+  for (auto& p : probes) {
+    threads.emplace_back([this, &p] {
+      HttpClient worker(p.address);
+      const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
+      if (!r.ok()) return;
+      p.answered = true;
+      try {
+        const auto report = parse_report(r.body);
+        Lock lock(mutex_);
+        if (role_ != Role::leading || report.host != p.name) return;
+        absorb(report, false);
+        term_->book->host(term_->book->host_named(p.name)).direct_at = steady_now();
+      } catch (const Malformed& e) {
+        spdlog::error("{}: malformed status: {}", p.name, e.what());
+      }
+    });
+  }
+}
+
+// Cut from the workers only, it keeps its hold and its peers: reports reach it by way of them, its commands fail, and
+// sound machines look dead to it (own day of cuts: 40 released as silent). A few are asked before it gives up, so that
+// workers which only go by way of others, though they need not, are no reason.
+void Controller::watch_workers() {
+  std::vector<Probe> probes;
+  {
+    Lock lock(mutex_);
+    if (!decisive() || !workers_by_peers()) return;
+    const double now = steady_now();
+    const Book& book = *term_->book;
+    for (std::uint32_t i = 0; i < book.host_count() && probes.size() < kAskedBeforeHandOver; ++i) {
+      const Host& host = book.host(HostIdx{i});
+      if (!host.reported || host.gone || host.lost || host.address.empty()) continue;
+      if (now - host.reported_at < settings_.report_s * kSilentReports && now - host.direct_at > now - host.reported_at)
+        probes.push_back({host.name, host.address});
+    }
+  }
+  probe(probes);
+  if (probes.empty() || std::any_of(probes.begin(), probes.end(), [](const Probe& p) { return p.answered; })) return;
+  Lock lock(mutex_);
+  if (decisive()) term_->hand_over = "the workers reach other controllers, and not this one";
+}
+
 void Controller::release_silent(HttpClient& cloud) {
-  struct Probe {
-    std::string name, address;
-    bool answered = false;
-  };
   std::vector<Probe> probes;
   {
     Lock lock(mutex_);
-    if (!decisive()) return;
+    if (!decisive() || workers_by_peers()) return;
     Book& book = *term_->book;
     const double now = steady_now();
     // After a takeover, workers still find their way to this leader. Those that have not yet are not counted below.
     if (now - term_->taken_over_at < kSettleReports * settings_.report_s) return;
     const double suspicious = kSilentReports * settings_.report_s + kSilentSlack;
-    std::size_t silent = 0, heard = 0;
+    std::size_t silent = 0, heard = 0, direct = 0;
     std::map<ZoneIdx, std::size_t> heard_in;
     std::vector<HostIdx> found;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       const Host& host = book.host(HostIdx{i});
       if (!host.reported || host.gone || host.lost) continue;
       const double silence = now - host.reported_at;
+      if (now - host.direct_at < kDirectReports * settings_.report_s) ++direct;
       if (silence < suspicious) {
         ++heard;
         ++heard_in[host.zone];
@@ -220,33 +266,25 @@
     }
     // Many at once, or all of a zone, tell of a cut and not of machines.
     if (silent > std::max<std::size_t>(1, heard / 10)) return;
+    // Nor does one judge that hears most of the others by way of its peers, or not at all just now: in the first seconds
+    // of a cut from the workers, 12 sound machines were released.
+    if (2 * direct < silent + heard) return;
     for (HostIdx h : found)
       if (heard_in[book.host(h).zone] > 0) probes.push_back({book.host(h).name, book.host(h).address});
   }
   if (probes.empty()) return;
-  // All at once: with one after the other, the replicas of the last of 13 dead machines waited 20 s (lienzo grown,
-  // troubles).
+  probe(probes);
+  std::vector<std::string> names;
   {
-    std::vector<std::jthread> threads;
-    for (auto& p : probes) {
-      threads.emplace_back([this, &p] {
-        HttpClient worker(p.address);
-        const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
-        if (!r.ok()) return;
-        p.answered = true;
-        try {
-          const auto report = parse_report(r.body);
-          Lock lock(mutex_);
-          if (role_ == Role::leading && report.host == p.name) absorb(report, false);
-        } catch (const Malformed& e) {
-          spdlog::error("{}: malformed status: {}", p.name, e.what());
-        }
-      });
+    Lock lock(mutex_);
+    if (!decisive()) return;
+    const double now = steady_now();
+    for (const auto& p : probes) {
+      // Heard of by way of another controller meanwhile: it is this one that does not reach it.
+      const HostIdx h = term_->book->find_host(p.name);
+      if (!p.answered && h.valid() && now - term_->book->host(h).reported_at > settings_.report_s) names.push_back(p.name);
     }
   }
-  std::vector<std::string> names;
-  for (const auto& p : probes)
-    if (!p.answered) names.push_back(p.name);
   release(cloud, names, "silent");
 }
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -64,7 +64,7 @@
 }
 
 bool Controller::decisive() const {
-  return role_ == Role::leading && steady_now() < term_->valid_until;
+  return role_ == Role::leading && !term_->hand_over && steady_now() < term_->valid_until;
 }
 
 void Controller::want_pass() {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -47,6 +47,7 @@
     double majority_acked_at = -1;     // steady: a majority of the controllers knew of this term
     double peers_acked_at = -1;        // steady: no other controller answers workers from then on
     bool bump_wanted = false;
+    const char* hand_over = nullptr;   // why it is to give leadership up, in order
     double bumped_at = 0;
     std::unique_ptr<Book> book;        // set when recovered
     // The ledger's tail, as the committer knows it
@@ -78,6 +79,10 @@
   void learn(std::uint64_t epoch, const std::string& label);
   // Cut off from its peers and from most workers, though not from the state service: another serves better.
   bool isolated() const;
+  // Whether most workers are heard by way of other controllers only.
+  bool workers_by_peers() const;
+  // Gives the hold back when nothing is on its way into the ledger, so that another controller leads at once.
+  void hand_over(Lock& lock, StoreClient& store, std::uint64_t hold, const char* why, double stand_back_s);
   void step_down(Lock& lock, const char* why);
   // Whether a report may be answered. A leader that can't renew its hold goes on for the sake of the workers' leases,
   // but only while a majority of the controllers, itself among them, answered it lately and knew of no later one.
@@ -141,6 +146,14 @@
   void rent(HttpClient& cloud);
   void release_machines(HttpClient& cloud);
   void release_silent(HttpClient& cloud);
+  // A leader that the workers can't reach, while other controllers can, hands over.
+  void watch_workers();
+  struct Probe {
+    std::string name, address;
+    bool answered = false;
+  };
+  // Asks all of them at once for their status.
+  void probe(std::vector<Probe>& probes);
   void release(HttpClient& cloud, const std::vector<std::string>& names, const char* why);
   void note_idle(double steady);
 
@@ -154,8 +167,12 @@
   std::unique_ptr<Term> term_;
   std::uint64_t known_epoch_ = 0, known_takeover_ = UINT64_MAX;
   std::string known_leader_;
-  double follower_since_ = 0, last_beat_ = 0;
+  double follower_since_ = 0, last_beat_ = 0, leader_since_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
+  bool committing_ = false;
+  double stand_back_until_ = 0;  // steady seconds: others go first
+  double handed_over_at_ = -1e9;
+  unsigned hand_overs_ = 0;      // shortly after each other
 
   std::condition_variable_any role_changed_;
   std::condition_variable_any queue_filled_;
@@ -206,7 +223,7 @@
 
   struct Counters {
     std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0},
-        commits{0}, reports{0}, suspected{0}, set_aside{0};
+        commits{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0};
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -18,6 +18,11 @@
 constexpr double kLonelyGrace = 5.0;  // longest that an uncertain leader answers workers without a majority
 constexpr double kAnswerLag = 1.0;
 constexpr double kStandBack = 4.0;    // before it tries to lead again
+constexpr double kLongStandBack = 15.0;  // one that the workers do not reach
+constexpr double kLookAgain = 0.3;
+constexpr double kHandOverMemory = 120.0;
+constexpr unsigned kMostHandOvers = 3;
+constexpr double kLastCommit = 0.4;   // what is queued may go into the ledger before the hold is given back
 }  // namespace
 
 void Controller::leadership_duty(std::stop_token stop) {
@@ -33,6 +38,16 @@
         Lock lock(mutex_);
         jitter = std::uniform_real_distribution<double>(0, 0.05)(random_);
       }
+      // One that handed over lets the others go first.
+      double stand_back = 0;
+      {
+        Lock lock(mutex_);
+        stand_back = stand_back_until_ - steady_now();
+      }
+      if (stand_back > 0) {
+        if (!pause_for(stop, std::min(stand_back, kLookAgain))) return;
+        continue;
+      }
       if (!pause_for(stop, jitter)) return;
       if (take_leadership(store, stop)) lead(store, stop);
       continue;
@@ -124,10 +139,15 @@
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
       if (isolated()) {
-        step_down(lock, "cut off from its peers and most workers");
-        lock.unlock();
-        store.drop(hold);
-        pause_for(stop, kStandBack);
+        hand_over(lock, store, hold, "cut off from its peers and most workers", kStandBack);
+        break;
+      }
+      if (term_->hand_over) {
+        // Where it comes back again and again, it is not this controller that is at fault.
+        const double now = steady_now();
+        hand_overs_ = now - handed_over_at_ < kHandOverMemory ? std::min(hand_overs_ + 1, kMostHandOvers) : 0;
+        handed_over_at_ = now;
+        hand_over(lock, store, hold, term_->hand_over, kLongStandBack * (1u << hand_overs_));
         break;
       }
       if (uncertain) {
@@ -180,6 +200,32 @@
   return silent > heard;
 }
 
+bool Controller::workers_by_peers() const {
+  const double now = steady_now(), lately = kPeersLost + settings_.report_s;
+  if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s / 2) return false;
+  std::size_t direct = 0, by_peers = 0, known = 0;
+  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
+    const Host& host = term_->book->host(HostIdx{i});
+    if (!host.reported || host.gone || host.lost) continue;
+    ++known;
+    if (now - host.direct_at < lately) ++direct;
+    else if (now - host.reported_at < lately) ++by_peers;
+  }
+  return by_peers > 2 * direct && 4 * by_peers > known;
+}
+
+void Controller::hand_over(Lock& lock, StoreClient& store, std::uint64_t hold, const char* why, double stand_back_s) {
+  const auto number = term_number_;
+  term_->hand_over = why;  // from here on nothing is decided
+  applied_.wait_for(lock, std::chrono::duration<double>(kLastCommit),
+                    [&] { return term_number_ != number || (queue_.empty() && !committing_); });
+  if (term_number_ == number) step_down(lock, why);
+  ++counters_.handed_over;
+  stand_back_until_ = steady_now() + stand_back_s;
+  lock.unlock();
+  store.drop(hold);
+}
+
 void Controller::step_down(Lock&, const char* why) {
   if (role_ == Role::follower) return;
   spdlog::info("no longer leader (epoch {}): {}", term_->epoch, why);
@@ -214,6 +260,9 @@
     // Until the leader says when it took over, only a raised epoch of the same leader leaves that as it was.
     if (label != known_leader_) {
       known_takeover_ = epoch;
+      leader_since_ = steady_now();
+      // Which workers can't reach the earlier leader says nothing of this one.
+      bounces_.clear();
       // Calls that still wait for the earlier one are better asked of this one.
       if (FramePool* pool = leader_pool(); pool && !label.empty()) pool->interrupt();
     }
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -114,7 +114,11 @@
       if (!due()) continue;
       if (term_->bump_wanted && !bump_epoch(store, stop, lock)) continue;
       if (term_number_ != number) break;
-      if (!queue_.empty()) commit(store, stop, lock);
+      if (!queue_.empty()) {
+        commit(store, stop, lock);
+        committing_ = false;
+        applied_.notify_all();
+      }
     }
   }
 }
@@ -263,6 +267,7 @@
   }
   const auto body = txn_body(conditions, puts, removes);
   const auto last_key = puts.back().key;
+  committing_ = true;
   lock.unlock();
   charge_writes(puts.size() + removes.size());
   const double began = steady_now();
@@ -345,7 +350,6 @@
   tell_blame();
   ++counters_.commits;
   counters_.commit_seconds = counters_.commit_seconds + (steady_now() - began);
-  applied_.notify_all();
   want_pass();
   return true;
 }
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -19,6 +19,7 @@
 constexpr double kBeatFresh = 2.0;        // four beats
 constexpr double kLeaderlessGrace = 6.0;
 constexpr double kBounceWindow = 12.0;
+constexpr double kGreeted = 0.6;          // of a lease
 constexpr double kForwardWindow = 30.0;   // then the worker is sent to the leader once more
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
@@ -248,7 +249,9 @@
     // sent there: it can't reach the leader. Sent back once more, it would wait there for its time limit again, and
     // its lease could run out on the way.
     auto& bounce = bounces_[report.host];
-    const bool left_leader = report.epoch >= known_takeover_ || now - bounce.redirected_at < kBounceWindow;
+    // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
+    const bool was_there = report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
+    const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
     if (now >= bounce.forward_until) {
       if (!left_leader || bounce.forward_until > 0) {
         bounce = {now, 0};
@@ -276,6 +279,7 @@
     absorb(report, true);
     Host& host = term_->book->host(term_->book->host_named(report.host));
     host.answered_at = std::max(host.answered_at, now);
+    if (!forwarded) host.direct_at = now;
     const bool newest = host.tenure == report.tenure && host.serial == report.serial;
     if (newest && decisive())
       orders = orders_for(*term_->book, term_->book->find_host(report.host), term_->takeover_epoch);
@@ -315,6 +319,7 @@
   line("reports_total", counters_.reports.load());
   line("suspected_jobs_total", counters_.suspected.load());
   line("machines_set_aside_total", counters_.set_aside.load());
+  line("handed_over_total", counters_.handed_over.load());
   line("ledger_queue", queue_.size());
   if (term_ && term_->book) {
     std::uint64_t waiting = 0, placed = 0;
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -18,6 +18,13 @@
 void Controller::absorb(const Report& report, bool by_report) {
   const Moment now{steady_now(), wall_now()};
   Book& book = *term_->book;
+  const HostIdx known = book.find_host(report.host);
+  if (known.valid() && report.tenure > book.host(known).tenure) {
+    const auto& placed = book.host(known).placed;
+    const auto forgot =
+        std::count_if(placed.begin(), placed.end(), [&](const auto& p) { return p.at->tenure < report.tenure; });
+    if (forgot > 0) spdlog::info("{}: its worker's lease ran out, {} tasks are off it", report.host, forgot);
+  }
   auto outcome = take_report(book, report, now, by_report, term_->takeover_epoch);
   if (outcome.stale) return;
   const bool records = !outcome.records.empty();
@@ -118,7 +125,9 @@
       step_down(lock, "a worker knows of a higher epoch");
       return;
     }
-    if (report.host == again.name) absorb(report, false);
+    if (report.host != again.name) continue;
+    again.direct_at = steady_now();
+    absorb(report, false);
   }
 }
 
