Renting is a pure part: late machines are replaced elsewhere, rentals without an answer repeated

A rental without an answer was made anew under another name, so twice. After a takeover, all that had not yet reported to the new leader was rented for again. Listed as running and never heard of: kept and paid for.

The same request is repeated until it is answered. No rental for two list lags after a takeover. Work of the lowest rank rents only when an aim for its end needs it. "trouble" of the cloud no longer counts as no capacity.

--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -93,7 +93,9 @@
   // From the cloud's list:
   bool listed = false;
   Machine::Status status = Machine::Status::running;
-  double held_s = 0, listed_at = 0;
+  double held_s = 0, listed_at = 0;  // listed_at: steady seconds; 0: in no list yet
+  double rented_at = 0;          // steady seconds: when this leader was told that it is rented; 0: by another
+  double up_at = 0;              // steady seconds: when it was first listed as running without having reported
   double idle_since = 0;         // steady seconds; 0: not idle
   bool leaving = false;          // its release was asked for: nothing more is placed there
 
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -13,7 +13,6 @@
 constexpr double kCloudTimeout = 5.0;
 constexpr double kFlavorsPeriod = 120.0;
 constexpr double kRefusedPause = 20.0;      // after "no capacity"
-constexpr double kBootFactor = 4.0;         // times bootS after which a machine is taken for dead
 constexpr std::size_t kMostReleased = 50;
 constexpr double kQuiet = 20.0;             // no work waits or runs, services aside, for this long
 constexpr double kIdleWhenQuiet = 20.0;
@@ -28,10 +27,10 @@
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
 constexpr unsigned kMostAtOnce = 50;         // in one rental
+constexpr double kListedAfter = 2.0;         // list lags until what was rented before is in a list
+constexpr double kMuteLeases = 3.0;          // leases that a machine listed as running may go unheard of
+constexpr double kIdleHaste = 2.0;           // times its run and a boot that work of the lowest rank is rented for ahead of its aim
 
-std::string offer_name(const std::string& kind, const std::string& yard, bool market) {
-  return kind + "/" + yard + (market ? "/market" : "/fixed");
-}
 }  // namespace
 
 void Controller::cloud_duty(std::stop_token stop) {
@@ -120,6 +119,7 @@
     host.listed_at = now;
     host.status = m.status;
     host.held_s = m.held_s;
+    if (m.status == Machine::Status::running && host.up_at == 0) host.up_at = now;
     if (!host.reported) book.describe(h, m.address, m.kind, m.yard, m.loaner);
     // A machine new to this leader may hold tasks: its worker learns of the epoch at once.
     if (fresh && !host.reported && m.status == Machine::Status::running) poke(h, true);
@@ -145,7 +145,7 @@
 }
 
 void Controller::release_machines(HttpClient& cloud) {
-  std::vector<std::string> dead, idle, faulty;
+  std::vector<std::string> dead, idle, faulty, late, mute;
   {
     Lock lock(mutex_);
     if (!decisive()) return;
@@ -154,17 +154,29 @@
     // With no work about, a machine is returned soon; else it is kept a while, for boots and fetches take time.
     const bool quiet = now - std::max(active_at_, term_->taken_over_at) > kQuiet;
     const double idle_limit = quiet ? kIdleWhenQuiet : kIdleWhenBusy;
+    const bool settled = now - term_->taken_over_at > kMuteLeases * settings_.lease_s;
+    std::set<ZoneIdx> heard_in;
+    for (std::uint32_t i = 0; i < book.host_count(); ++i)
+      if (now - book.host(HostIdx{i}).direct_at < settings_.lease_s) heard_in.insert(book.host(HostIdx{i}).zone);
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       Host& host = book.host(HostIdx{i});
-      if (!host.listed || host.gone || dead.size() + idle.size() >= kMostReleased) continue;
+      if (!host.listed || host.gone || dead.size() + idle.size() + late.size() + mute.size() >= kMostReleased) continue;
       const Flavor* flavor = book.flavor(host.kind);
-      const bool failed = host.status == Machine::Status::failed;
-      const bool never_booted = !host.reported && host.status == Machine::Status::booting && flavor &&
-                                host.held_s > kBootFactor * flavor->boot_s;
-      if (failed || never_booted) {
+      if (host.status == Machine::Status::failed || never_came(host, flavor, now)) {
         dead.push_back(host.name);
         continue;
       }
+      // A late one is kept while there is work.
+      if (quiet && settled && coming(host, flavor, now) == Coming::late) {
+        late.push_back(host.name);
+        continue;
+      }
+      // Up for long, by the list, and never heard of; not where a cut may be the reason.
+      if (!host.reported && host.placed.empty() && host.status == Machine::Status::running &&
+          now - host.up_at > kMuteLeases * settings_.lease_s && heard_in.contains(host.zone)) {
+        mute.push_back(host.name);
+        continue;
+      }
       // Failed once more after it was tried again: another machine in its place serves better.
       if (host.placed.empty() && !starting_.contains(HostIdx{i}) && book.blame().given_up(HostIdx{i}, wall_now())) {
         host.leaving = true;
@@ -182,6 +194,8 @@
   release(cloud, dead, "dead");
   release(cloud, idle, "idle");
   release(cloud, faulty, "faulty");
+  release(cloud, late, "late and no longer wanted");
+  release(cloud, mute, "up and never heard of");
 }
 
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
@@ -288,97 +302,77 @@
   release(cloud, names, "silent");
 }
 
+// Work of the lowest rank is done with what is free; machines are rented for it when an aim for its end needs them.
+bool Controller::worth_renting(const Job& job, double wall) const {
+  if (job.spec.rank != Rank::idle) return true;
+  double boot = 0;
+  for (const auto& f : term_->book->flavors()) boot = boot == 0 ? f.boot_s : std::min(boot, f.boot_s);
+  double aim = job.spec.due_s.value_or(0);
+  for (const auto& o : settings_.objectives)
+    if (o.job_class == job.spec.job_class && o.within_s > 0 && (o.kind == "finished" || o.kind == "wait"))
+      aim = aim > 0 ? std::min(aim, o.within_s) : o.within_s;
+  return aim > 0 && wall - job.accepted_at + kIdleHaste * (job.spec.expected_s + boot) > aim;
+}
+
 void Controller::rent(HttpClient& cloud) {
-  std::string kind, yard, rental;
-  bool loaner = false;
-  unsigned count = 0;
+  std::uint64_t number = 0;
   {
     Lock lock(mutex_);
     if (!decisive()) return;
-    const Book& book = *term_->book;
     const double now = steady_now();
-    // Machines on their way serve the first of what waits.
-    std::map<KindIdx, unsigned> coming;
-    for (std::uint32_t i = 0; i < book.host_count(); ++i) {
-      const Host& host = book.host(HostIdx{i});
-      if (host.listed && !host.gone && !host.reported && host.status == Machine::Status::booting) ++coming[host.kind];
-    }
-    for (const auto& u : unserved_) {
-      const Job& job = book.job(u.job);
-      if (job.ended() || job.tasks.empty() || u.late == 0) continue;
-      struct Option {
-        double price;
-        const Flavor* flavor;
-        const std::string* yard;
-        bool loaner;
-        unsigned per_machine;
-      };
-      std::vector<Option> options;
-      for (const auto& f : book.flavors()) {
-        const KindIdx k = book.kind_of(f.name);
-        if (!job.kinds.empty() && std::find(job.kinds.begin(), job.kinds.end(), k) == job.kinds.end()) continue;
-        if (!job.spec.need.fits(f.room)) continue;
-        double per = f.room.cores / std::max(job.spec.need.cores, 0.01);
-        if (job.spec.need.ram_gb > 0) per = std::min(per, f.room.ram_gb / job.spec.need.ram_gb);
-        if (job.spec.need.accelerators > 0) per = std::min(per, f.room.accelerators / job.spec.need.accelerators);
-        const auto units = std::max(1u, static_cast<unsigned>(per + 1e-6));
-        for (const auto& y : f.yards) {
-          if (!job.spec.yard.empty() && job.spec.yard != y) continue;
-          for (bool market : {true, false}) {
-            if (market && !job.spec.loaners) continue;
-            const auto it = refused_rentals_.find(offer_name(f.name, y, market));
-            if (it != refused_rentals_.end() && it->second > now) continue;
-            options.push_back({(market ? f.market_price : f.price) / units, &f, &y, market, units});
-          }
-        }
-      }
-      if (options.empty()) continue;
-      // The cheapest first; machines with accelerators, dear without use for these, only when nothing else is to be had.
-      const auto& best = *std::min_element(options.begin(), options.end(),
-                                           [](auto& a, auto& b) { return a.price < b.price; });
+    number = term_number_;
+    // What an earlier leader rented is in no list yet, and what is up has not reported to this one.
+    if (now - term_->taken_over_at < kListedAfter * settings_.list_lag_s) return;
+    if (!rental_ || rental_->term != number) {
+      std::erase_if(refused_rentals_, [&](const auto& r) { return r.second <= now; });
+      std::set<Offer> refused;
+      for (const auto& [offer, until] : refused_rentals_) refused.insert(offer);
       // Renting pays only for what has no slot before the machine is up.
-      unsigned wanted = (u.late + best.per_machine - 1) / best.per_machine;
-      auto& on_the_way = coming[book.kind_of(best.flavor->name)];
-      const unsigned served = std::min(on_the_way, wanted);
-      on_the_way -= served;
-      wanted -= served;
-      if (wanted == 0) continue;
-      // One request a turn, for all jobs that are best served by the same offer as the first.
-      if (kind.empty()) {
-        kind = best.flavor->name;
-        yard = *best.yard;
-        loaner = best.loaner;
-      }
-      if (kind == best.flavor->name && yard == *best.yard && loaner == best.loaner)
-        count = std::min(count + wanted, kMostAtOnce);
+      RentingInput in{*term_->book, {}, refused, now, kMostAtOnce};
+      for (const auto& u : unserved_)
+        if (u.late > 0 && worth_renting(term_->book->job(u.job), wall_now())) in.needs.push_back({u.job, u.late});
+      const auto rental = choose_rental(in);
+      if (!rental) return;
+      // The epoch is of this term alone, so no other controller or process ever uses the name again.
+      rental_ = {number, "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_), *rental};
     }
-    if (kind.empty()) return;
-    // The epoch is of this term alone, so no other controller or process ever uses the name again.
-    rental = "r-" + std::to_string(term_->takeover_epoch) + "-" + std::to_string(++rentals_);
   }
-  const auto r = cloud.post(kRentPath, rent_body(rental, kind, yard, loaner, count), kCloudTimeout);
+  const auto [term, name, rental] = *rental_;
+  const std::string kind = [&] {
+    Lock lock(mutex_);
+    return term_number_ == number ? term_->book->kind_name(rental.offer.kind) : std::string();
+  }();
+  if (kind.empty()) return;
+  const auto r = cloud.post(kRentPath, rent_body(name, kind, rental.offer.yard, rental.offer.loaner, rental.count),
+                            kCloudTimeout);
   Lock lock(mutex_);
+  // Without an answer the same request is made again: under another name it would rent twice.
+  if (r.delivery == Delivery::in_doubt || r.is(429)) return;
+  rental_.reset();
+  if (term_number_ != number) return;
+  const double now = steady_now();
   if (r.ok()) {
     try {
       const auto names = parse_rented(r.body);
-      spdlog::info("rented {} of {} {} in {}{}", names.size(), count, kind, yard, loaner ? ", spot" : "");
-      if (role_ == Role::leading) {
-        for (const auto& name : names) {
-          const HostIdx h = term_->book->host_named(name);
-          Host& host = term_->book->host(h);
-          term_->book->describe(h, "", kind, yard, loaner);
-          if (!host.reported) {
-            host.listed = true;
-            host.status = Machine::Status::booting;
-          }
-        }
+      spdlog::info("rented {} of {} {} in {}{}{}", names.size(), rental.count, kind, rental.offer.yard,
+                   rental.offer.loaner ? ", spot" : "",
+                   rental.late > 0 ? ", while " + std::to_string(rental.late) + " rented before are late" : "");
+      for (const auto& host_name : names) {
+        const HostIdx h = term_->book->host_named(host_name);
+        Host& host = term_->book->host(h);
+        host.rented_at = now;
+        // It may be up, and have reported, before this answer came.
+        if (host.reported || host.listed) continue;
+        term_->book->describe(h, "", kind, rental.offer.yard, rental.offer.loaner);
+        host.listed = true;
+        host.status = Machine::Status::booting;
       }
-      if (names.size() < count) refused_rentals_[offer_name(kind, yard, loaner)] = steady_now() + kRefusedPause;
+      if (names.size() < rental.count) refused_rentals_[rental.offer] = now + kRefusedPause;
     } catch (const Malformed& e) {
       spdlog::error("cloud: rental: {}", e.what());
     }
-  } else if (r.is(503)) {
-    refused_rentals_[offer_name(kind, yard, loaner)] = steady_now() + kRefusedPause;
+  } else if (r.is(503) && is_no_capacity(r.body)) {
+    refused_rentals_[rental.offer] = now + kRefusedPause;
   }
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -16,6 +16,7 @@
 #include "bookkeeping/rewriter.hpp"
 #include "coordination/dealings.hpp"
 #include "coordination/planner.hpp"
+#include "coordination/renting.hpp"
 #include "coordination/store_client.hpp"
 #include "coordination/tuning.hpp"
 #include "protocol/messages.hpp"
@@ -143,6 +144,7 @@
   void cloud_duty(std::stop_token stop);
   bool learn_flavors(HttpClient& cloud);
   bool list_machines(HttpClient& cloud);
+  bool worth_renting(const Job& job, double wall) const;
   void rent(HttpClient& cloud);
   void release_machines(HttpClient& cloud);
   void release_silent(HttpClient& cloud);
@@ -209,8 +211,14 @@
   std::unordered_map<std::string, Bounce> bounces_;  // by worker
   // Reports answered while the ledger was still being read: their leases count from then.
   std::unordered_map<std::string, double> early_answers_;
-  std::map<std::string, double> refused_rentals_;  // kind/zone/market -> steady time to try again
+  std::map<Offer, double> refused_rentals_;  // steady time to try again
   std::uint64_t rentals_ = 0;
+  struct RentalRequest {
+    std::uint64_t term = 0;
+    std::string name;
+    Rental rental;
+  };
+  std::optional<RentalRequest> rental_;  // made and not answered; used by the cloud's duty alone
 
   struct PeerLink {
     Settings::Peer peer;
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -238,6 +238,7 @@
   early_answers_.clear();
   unserved_.clear();
   starting_.clear();
+  refused_rentals_.clear();  // kinds are numbered anew by the next book
   term_.reset();
   for (auto& [h, duty] : host_duties_) {
     duty->thread.request_stop();
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -526,6 +526,7 @@
   for (const auto& h : list(j, "hosts")) out.push_back(as_text(h, "hosts"));
   return out;
 }
+bool is_no_capacity(std::string_view body) { return body.find("no capacity") != std::string_view::npos; }
 std::string release_body(const std::vector<std::string>& names) { return json{{"hosts", names}}.dump(); }
 
 // ---- state service
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -50,6 +50,8 @@
 std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner,
                       unsigned count);
 std::vector<std::string> parse_rented(std::string_view body);
+// Whether a refusal says that there are no such machines, and not that the cloud has trouble.
+bool is_no_capacity(std::string_view body);
 std::string release_body(const std::vector<std::string>& names);
 
 // State service
