--- a/src/bookkeeping/rewriter.cpp
+++ b/src/bookkeeping/rewriter.cpp
@@ -5,9 +5,9 @@
 namespace thistle {
 
 namespace {
-constexpr std::size_t kFewEntries = 32;  // a ledger this short is left as it is
-constexpr std::size_t kLogFactor = 3;    // entries kept for each that the book itself would take
-constexpr std::size_t kJobBytes = 600, kTaskBytes = 12, kRangeBytes = 24, kEndedBytes = 24;  // rough sizes in the ledger
+constexpr std::size_t kFewEntries = 8;   // a ledger this short is left as it is
+constexpr std::size_t kLogFactor = 2;    // entries kept for each that the book itself would take
+constexpr std::size_t kJobBytes = 400, kTaskBytes = 12, kRangeBytes = 24, kEndedBytes = 24;  // rough sizes in the ledger
 constexpr std::size_t kMostItems = 100;  // ranges in one record: well inside an entry
 
 std::uint64_t most_entries(const Book& book, std::size_t entry_bytes) {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -172,6 +172,7 @@
   double follower_since_ = 0, last_beat_ = 0, leader_since_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
   bool committing_ = false;
+  std::atomic<double> lag_{0};   // seconds by which the leader's renewals run late, lately
   double stand_back_until_ = 0;  // steady seconds: others go first
   double handed_over_at_ = -1e9;
   unsigned hand_overs_ = 0;      // shortly after each other
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -20,6 +20,7 @@
 constexpr double kStandBack = 4.0;    // before it tries to lead again
 constexpr double kLongStandBack = 15.0;  // one that the workers do not reach
 constexpr double kLookAgain = 0.3;
+constexpr double kLagMemory = 0.7;    // of the lateness before, at each renewal
 constexpr double kHandOverMemory = 120.0;
 constexpr unsigned kMostHandOvers = 3;
 constexpr double kLastCommit = 0.4;   // what is queued may go into the ledger before the hold is given back
@@ -127,14 +128,22 @@
     number = term_number_;
   }
   bool uncertain = false;
-  while (pause_for(stop, tuning_.hold_ms / 1000.0 / 4)) {
+  const double period = tuning_.hold_ms / 1000.0 / 4;
+  for (double slept_at = steady_now(); pause_for(stop, period); slept_at = steady_now()) {
+    const double late = std::max(0.0, steady_now() - slept_at - period);
+    lag_ = late + kLagMemory * (lag_ - late);
     {
       Lock lock(mutex_);
       if (term_number_ != number || role_ == Role::follower) break;
     }
     const double asked = steady_now();
     const auto status = store.renew(hold);
+    const double answered = steady_now();
     Lock lock(mutex_);
+    if (const double whole = steady_now() - slept_at - period; whole > period)
+      spdlog::debug("renewal {:.0f} ms late: woken {:.0f}, lock {:.0f}, answer {:.0f}, lock {:.0f}", whole * 1000,
+                    late * 1000, (asked - slept_at - period - late) * 1000, (answered - asked) * 1000,
+                    (steady_now() - answered) * 1000);
     if (term_number_ != number || role_ == Role::follower) break;
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
