Histograms of waits, acceptances and passes in /metrics; how late renewals run

Boost.Histogram, buckets that double from 10 ms; classes that no aim names are counted together, so that names chosen by users do not grow the page.

--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -15,6 +15,7 @@
 #include "bookkeeping/book.hpp"
 #include "bookkeeping/rewriter.hpp"
 #include "coordination/dealings.hpp"
+#include "coordination/histograms.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
 #include "coordination/store_client.hpp"
@@ -236,6 +237,11 @@
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
 
+  // Of what this controller did as a leader. Classes that no aim names are counted together.
+  void note_starts(const StartRecord& start);
+  std::map<std::string, SecondsHistogram> start_waits_;  // by class: from acceptance to the start in the ledger
+  SecondsHistogram accept_waits_, pass_times_;
+
   std::unique_ptr<FrameServer> frame_server_;
   std::unique_ptr<HttpServer> http_server_;
   std::vector<std::jthread> duties_;
--- /dev/null
+++ b/src/coordination/histograms.hpp
@@ -0,0 +1,27 @@
+// Histograms for the operator's metrics.
+#pragma once
+#include <boost/histogram.hpp>
+#include <string>
+#include <vector>
+
+namespace thistle {
+
+// Seconds, in buckets that double.
+class SecondsHistogram {
+ public:
+  void add(double seconds) {
+    counts_(seconds);
+    sum_ += seconds;
+  }
+  // Lines in the text format of /metrics; `label` is empty or like class="visor".
+  void print(std::string& out, const std::string& name, const std::string& label) const;
+
+ private:
+  using Axis = boost::histogram::axis::variable<>;
+  using Counts = decltype(boost::histogram::make_histogram(Axis{0.0, 1.0}));
+  static Axis axis();
+  Counts counts_ = boost::histogram::make_histogram(axis());
+  double sum_ = 0;
+};
+
+}  // namespace thistle
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -60,6 +60,16 @@
   }
 }
 
+void Controller::note_starts(const StartRecord& start) {
+  const JobIdx j = term_->book->find(start.uid);
+  if (!j.valid() || term_->book->job(j).ended()) return;
+  const Job& job = term_->book->job(j);
+  const auto& named = settings_.objectives;
+  const bool known = std::any_of(named.begin(), named.end(), [&](const auto& o) { return o.job_class == job.spec.job_class; });
+  // One for each start: a job's tasks that start together waited alike.
+  start_waits_[known ? job.spec.job_class : "other"].add(wall_now() - job.accepted_at);
+}
+
 void Controller::tell_blame() {
   Book& book = *term_->book;
   for (const auto& n : book.blame().take_news()) {
@@ -340,6 +350,7 @@
     auto& q = batch[i];
     const auto jobs = term.book->job_count();
     if (const auto* accept = std::get_if<AcceptRecord>(&q.record)) accepting_.erase(accept->job.uid);
+    if (const auto* start = std::get_if<StartRecord>(&q.record)) note_starts(*start);
     if (const auto* done = std::get_if<DoneRecord>(&q.record))
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
     term.book->apply(q.record);
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -367,6 +367,7 @@
   ++counters_.passes;
   const double took = steady_now() - steady;
   counters_.pass_seconds = counters_.pass_seconds + took;
+  pass_times_.add(took);
   spdlog::debug("pass: {:.1f} ms, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped, {:.0f} ms behind", took * 1000,
                 input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size(),
                 preemption.victims.size(), lag_ * 1000);
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -179,7 +179,9 @@
   const double asked = steady_now();
   if (!wait_applied(lock, ticket, kCommitWait) || term_number_ != number || !decisive())
     return error_reply(503, kUnavailable, kRetryAfter);
-  if (const double took = steady_now() - asked; took > kSlowCommit) spdlog::debug("{}: accepted after {:.0f} ms", s.uid, took * 1000);
+  const double took = steady_now() - asked;
+  accept_waits_.add(took);
+  if (took > kSlowCommit) spdlog::debug("{}: accepted after {:.0f} ms", s.uid, took * 1000);
   ++counters_.accepted;
   const JobIdx j = term_->book->find(s.uid);
   return j.valid() ? answer_known(j, 201) : error_reply(503, kUnavailable, kRetryAfter);
@@ -321,6 +323,7 @@
   line("machines_set_aside_total", counters_.set_aside.load());
   line("handed_over_total", counters_.handed_over.load());
   line("ledger_queue", queue_.size());
+  line("renewals_late_seconds", lag_.load());
   if (term_ && term_->book) {
     std::uint64_t waiting = 0, placed = 0;
     for (JobIdx j : term_->book->live()) {
@@ -331,6 +334,10 @@
     line("waiting_tasks", waiting);
     line("placed_tasks", placed);
   }
+  accept_waits_.print(out, "thistlefront_accept_seconds", "");
+  pass_times_.print(out, "thistlefront_pass_seconds", "");
+  for (const auto& [job_class, waits] : start_waits_)
+    waits.print(out, "thistlefront_start_wait_seconds", "class=\"" + job_class + "\"");
   HttpReply reply{200, std::move(out)};
   reply.type = "text/plain; version=0.0.4";
   return reply;
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -1,6 +1,8 @@
 // Messages: what is taken, what is refused and by which field's name, and round trips.
 #include "protocol/messages.hpp"
 
+#include "coordination/histograms.hpp"
+
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
@@ -123,5 +125,16 @@
   EXPECT_FALSE(unpack_beat(frame));
 }
 
+TEST(Histograms, BucketsAreCumulativeAndKeepWhatIsBeyondTheLast) {
+  SecondsHistogram h;
+  for (const double s : {0.005, 0.005, 0.5, 5000.0}) h.add(s);
+  std::string out;
+  h.print(out, "x", "class=\"c\"");
+  EXPECT_NE(out.find("x_bucket{class=\"c\",le=\"0.01\"} 2\n"), std::string::npos) << out;
+  EXPECT_NE(out.find("x_bucket{class=\"c\",le=\"0.64\"} 3\n"), std::string::npos) << out;
+  EXPECT_NE(out.find("x_bucket{class=\"c\",le=\"+Inf\"} 4\n"), std::string::npos) << out;
+  EXPECT_NE(out.find("x_count{class=\"c\"} 4\n"), std::string::npos) << out;
+}
+
 }  // namespace
 }  // namespace thistle
