--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -62,10 +62,6 @@
   }
 }
 
-bool Book::caches(const Host& host, ImageIdx image) const {
-  return std::any_of(host.images.begin(), host.images.end(), [&](auto& i) { return i.first == image; });
-}
-
 Placement* Book::placement(PieceRef ref) {
   if (!ref.job.valid()) return nullptr;
   auto& placed = jobs_[ref.job.v].placed;
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -133,7 +133,6 @@
   [[nodiscard]] std::size_t host_count() const { return hosts_.size(); }
   void describe(HostIdx h, const std::string& address, const std::string& kind, const std::string& zone, bool loaner);
   void touch_image(Host& host, ImageIdx image, double gb);
-  [[nodiscard]] bool caches(const Host& host, ImageIdx image) const;
 
   // Flavors, by kind; nullptr while unknown
   [[nodiscard]] const Flavor* flavor(KindIdx k) const;
--- a/tests/planner_scale_test.cpp
+++ b/tests/planner_scale_test.cpp
@@ -192,5 +192,45 @@
   }
 }
 
+// With no later slot left to give, tasks that need no less than one for which nothing was free are passed over; smaller
+// ones, and those that may use other machines, are still looked for.
+TEST(PlannerAtSize, WhatFoundNothingHidesOnlyWhatNeedsNoLess) {
+  PlanInput in;
+  in.now = 100;
+  in.most_holds = 0;
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    PlanHost h;
+    h.host = HostIdx{i};
+    h.kind = KindIdx{i};
+    h.zone = ZoneIdx{0};
+    h.loaner = i == 1;
+    h.room = {1, 0, 8};
+    h.occupants = {{{i == 0 ? 0.7 : 0.2, 0, 1}, 200}};
+    in.hosts.push_back(h);
+  }
+  const auto add = [&](double cores, double key, bool loaners) {
+    PlanJob j;
+    j.job = JobIdx{static_cast<std::uint32_t>(in.jobs.size())};
+    j.units = 1;
+    j.need = {cores, 0, 0.1};
+    j.run_s = 10;
+    j.key = key;
+    j.loaners = loaners;
+    in.jobs.push_back(j);
+  };
+  add(0.5, 9, false);   // 0.3 is free where it may run
+  add(0.6, 8, false);
+  add(0.25, 7, false);  // fits
+  add(0.5, 6, true);    // fits on the spot machine
+  add(0.5, 5, true);
+  const Plan plan = make_plan(in);
+  ASSERT_EQ(plan.starts.size(), 2u);
+  EXPECT_EQ(plan.starts[0].job, JobIdx{2});
+  EXPECT_EQ(plan.starts[1].job, JobIdx{3});
+  std::vector<JobIdx> unserved;
+  for (const auto& u : plan.unserved) unserved.push_back(u.job);
+  EXPECT_EQ(unserved, (std::vector<JobIdx>{JobIdx{0}, JobIdx{1}, JobIdx{4}}));
+}
+
 }  // namespace
 }  // namespace thistle
