Silent machines are judged twice, also those never heard of since a takeover

Machines that hold work and were never heard of since a takeover are now asked and released like silent ones.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -19,7 +19,8 @@
 constexpr double kIdleWhenBusy = 300.0;
 constexpr double kSilentReports = 2.0;      // then it is asked, so that little is lost by a mistake
 constexpr double kSilentSlack = 0.5;
-constexpr double kDirectReports = 1.6;      // report periods within which one that reaches it has been heard
+constexpr double kDirectReports = 1.45;     // report periods within which one that reaches it has been heard
+constexpr std::size_t kDirectShare = 3;     // one in so many
 constexpr double kSettleReports = 4.0;
 constexpr double kBatchPatience = 1.5;
 constexpr std::size_t kMostProbes = 24;
@@ -198,6 +199,20 @@
   release(cloud, mute, "up and never heard of");
 }
 
+// Not the one to judge is a leader that hears most machines by way of its peers, or not at all just now: in the first
+// seconds of a cut from the workers, 12 sound ones were released. One that is short of processor time hears late.
+bool Controller::hears_workers() const {
+  const double now = steady_now();
+  std::size_t known = 0, direct = 0;
+  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
+    const Host& host = term_->book->host(HostIdx{i});
+    if (!host.reported || host.gone || host.lost) continue;
+    ++known;
+    direct += now - host.direct_at < kDirectReports * settings_.report_s;
+  }
+  return kDirectShare * direct >= known;
+}
+
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
 // have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
 void Controller::probe(std::vector<Probe>& probes) {
@@ -256,14 +271,16 @@
     // After a takeover, workers still find their way to this leader. Those that have not yet are not counted below.
     if (now - term_->taken_over_at < kSettleReports * settings_.report_s) return;
     const double suspicious = kSilentReports * settings_.report_s + kSilentSlack;
-    std::size_t silent = 0, heard = 0, direct = 0;
+    std::size_t silent = 0, heard = 0;
     std::map<ZoneIdx, std::size_t> heard_in;
     std::vector<HostIdx> found;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       const Host& host = book.host(HostIdx{i});
-      if (!host.reported || host.gone || host.lost) continue;
-      const double silence = now - host.reported_at;
-      if (now - host.direct_at < kDirectReports * settings_.report_s) ++direct;
+      if (host.gone || host.lost) continue;
+      // One that holds work and was never heard of since the takeover may have died with the earlier leader (lienzo grown,
+      // troubles: 12 machines die as the leader ends, and their replicas waited for the whole lease).
+      if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
+      const double silence = now - (host.reported ? host.reported_at : term_->taken_over_at);
       if (silence < suspicious) {
         ++heard;
         ++heard_in[host.zone];
@@ -280,9 +297,7 @@
     }
     // Many at once, or all of a zone, tell of a cut and not of machines.
     if (silent > std::max<std::size_t>(1, heard / 10)) return;
-    // Nor does one judge that hears most of the others by way of its peers, or not at all just now: in the first seconds
-    // of a cut from the workers, 12 sound machines were released.
-    if (2 * direct < silent + heard) return;
+    if (!hears_workers()) return;
     for (HostIdx h : found)
       if (heard_in[book.host(h).zone] > 0) probes.push_back({book.host(h).name, book.host(h).address});
   }
@@ -291,12 +306,15 @@
   std::vector<std::string> names;
   {
     Lock lock(mutex_);
-    if (!decisive()) return;
+    // Looked at once more: in the first seconds of a cut the last reports are not old yet.
+    if (!decisive() || !hears_workers()) return;
     const double now = steady_now();
     for (const auto& p : probes) {
       // Heard of by way of another controller meanwhile: it is this one that does not reach it.
       const HostIdx h = term_->book->find_host(p.name);
-      if (!p.answered && h.valid() && now - term_->book->host(h).reported_at > settings_.report_s) names.push_back(p.name);
+      if (p.answered || !h.valid()) continue;
+      const Host& host = term_->book->host(h);
+      if (!host.reported || now - host.reported_at > settings_.report_s) names.push_back(p.name);
     }
   }
   release(cloud, names, "silent");
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -149,6 +149,7 @@
   void rent(HttpClient& cloud);
   void release_machines(HttpClient& cloud);
   void release_silent(HttpClient& cloud);
+  bool hears_workers() const;
   // A leader that the workers can't reach, while other controllers can, hands over.
   void watch_workers();
   struct Probe {
