Starts and ends are split into records that fit an entry; one that stands back does not do so for long

Read in the code and shown by a test: a start record was bounded by its machines, not by its ranges. Starts are now split at 150 ranges, a machine's name counting as three, ends at 150 ranges; a record that fits into no entry is told as an error.

The other way to that end: controllers that all handed over could stand back together for up to 120 s. One that stands back now leads all the same when nobody else has for 3 s.

--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -12,6 +12,9 @@
 constexpr double kExpiryMargin = 0.3;
 constexpr double kNoRoomPause = 3.0;
 constexpr double kProven = 15.0;  // a replica that has served for this long shows that its job and its machine work
+// Ranges in one record, a machine's name counting as three: well inside an entry of the ledger.
+constexpr std::size_t kMostItems = 150;
+constexpr std::size_t kPartItems = 3;
 // Orders in one message: well inside 64 KiB.
 constexpr std::size_t kMostOrders = 400;
 
@@ -32,12 +35,22 @@
   }
   std::vector<Record> take() {
     std::vector<Record> out;
-    for (auto& [j, r] : done_) out.emplace_back(std::move(r));
-    for (auto& [k, r] : off_) out.emplace_back(std::move(r));
+    for (auto& [j, r] : done_) split(r, out);
+    for (auto& [k, r] : off_) split(r, out);
     return out;
   }
 
  private:
+  template <class Ended>
+  static void split(const Ended& r, std::vector<Record>& out) {
+    for (std::size_t i = 0; i < r.tasks.size(); i += kMostItems) {
+      Ended part = r;
+      part.tasks.assign(r.tasks.begin() + static_cast<long>(i),
+                        r.tasks.begin() + static_cast<long>(std::min(i + kMostItems, r.tasks.size())));
+      out.emplace_back(std::move(part));
+    }
+  }
+
   std::map<JobIdx, DoneRecord> done_;
   std::map<std::tuple<JobIdx, std::uint64_t, bool>, OffRecord> off_;
 };
@@ -48,6 +61,29 @@
 
 }  // namespace
 
+std::vector<StartRecord> in_fitting_records(const StartRecord& r) {
+  std::vector<StartRecord> out;
+  std::size_t items = kMostItems;
+  for (const auto& part : r.parts) {
+    bool begun = false;
+    for (const auto& range : part.tasks) {
+      if (items + 1 + (begun ? 0 : kPartItems) > kMostItems) {
+        out.push_back({r.uid, r.attempt, r.at, {}});
+        items = 0;
+        begun = false;
+      }
+      if (!begun) {
+        out.back().parts.push_back({part.host, part.tenure, {}});
+        items += kPartItems;
+        begun = true;
+      }
+      out.back().parts.back().tasks.push_back(range);
+      ++items;
+    }
+  }
+  return out;
+}
+
 void stop_task(Placement& p, double wind_down_s) {
   p.stopping = true;
   p.wind_down_s = wind_down_s;
--- a/src/coordination/dealings.hpp
+++ b/src/coordination/dealings.hpp
@@ -26,6 +26,10 @@
 // The orders that bring the worker from what it last reported to what the book says.
 std::vector<Order> orders_for(const Book& book, HostIdx h, std::uint64_t epoch);
 
+// The same starts in records that fit into an entry of the ledger, however scattered their tasks are. One that does not is
+// refused by the state service, and each leader in turn would plan it again and step down.
+std::vector<StartRecord> in_fitting_records(const StartRecord& r);
+
 // Marks a placed task for stopping.
 void stop_task(Placement& p, double wind_down_s);
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -20,6 +20,7 @@
 constexpr double kStandBack = 4.0;    // before it tries to lead again
 constexpr double kLongStandBack = 15.0;  // one that the workers do not reach
 constexpr double kLookAgain = 0.3;
+constexpr double kOthersFirst = 3.0;  // one that stands back leads all the same when nobody else has for this long
 constexpr double kLagMemory = 0.7;    // of the lateness before, at each renewal
 constexpr double kHandOverMemory = 120.0;
 constexpr unsigned kMostHandOvers = 3;
@@ -29,9 +30,11 @@
 void Controller::leadership_duty(std::stop_token stop) {
   StoreClient store(settings_.state);
   std::stop_callback abort(stop, [&] { store.abort(); });
+  double missing_since = 0;  // steady seconds; 0: some controller leads, as far as is known
   while (!stop.stop_requested()) {
     Row row;
     const auto got = store.get(kLeaderKey, row);
+    if (got == StoreStatus::ok) missing_since = 0;
     if (got == StoreStatus::missing) {
       // Controllers that saw the key go at the same moment try one after the other.
       double jitter = 0;
@@ -45,12 +48,14 @@
         Lock lock(mutex_);
         stand_back = stand_back_until_ - steady_now();
       }
-      if (stand_back > 0) {
+      // Not for long: where nobody does, a leader that the workers reach badly is better than none.
+      if (missing_since == 0) missing_since = steady_now();
+      if (stand_back > 0 && steady_now() - missing_since < kOthersFirst) {
         if (!pause_for(stop, std::min(stand_back, kLookAgain))) return;
         continue;
       }
       if (!pause_for(stop, jitter)) return;
-      if (take_leadership(store, stop)) lead(store, stop);
+      if (take_leadership(store, stop)) lead(store, stop), missing_since = 0;
       continue;
     }
     if (got != StoreStatus::ok) {
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -213,6 +213,8 @@
   };
   std::vector<Entry> entries{{term.tail_stamp ? term.next_entry - 1 : term.next_entry, term.tail_stamp, term.tail}};
   const auto fit = [&](const std::string& text) {
+    if (text.size() + 64 > value_limit)
+      spdlog::error("a ledger record of {} bytes fits into no entry: {}", text.size(), text.substr(0, 60));
     auto& last = entries.back();
     if (!last.records.empty() && last.records.size() + text.size() + 64 > value_limit) {
       if (entries.size() >= most_puts) return false;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -15,7 +15,6 @@
 constexpr double kIdlePeriod = 1.0;        // a pass at least this often
 constexpr double kRestAfterPass = 4.0;     // times as long as the pass took
 constexpr double kStartWait = 30.0;
-constexpr std::size_t kMostParts = 100;     // hosts in one start record: well inside a ledger entry
 constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
 constexpr double kTimeGrain = 0.5;        // of ends in the profiles: far finer than estimates are
 constexpr double kDrainSlack = 1.0;
@@ -346,13 +345,11 @@
     ++counters_.preempted;
   }
   // Slots that are now become task numbers; one attempt number for all starts of a job in this pass.
-  std::map<JobIdx, std::vector<StartRecord>> starts;
+  std::map<JobIdx, StartRecord> starts;
   std::map<JobIdx, std::uint32_t> next_task;
   for (const auto& slot : plan.starts) {
     Job& job = book.job(slot.job);
-    auto& of_job = starts[slot.job];
-    // A record with very many parts would not fit into an entry of the ledger.
-    if (of_job.empty() || of_job.back().parts.size() >= kMostParts) of_job.push_back({job.uid, job.attempts + 1, wall, {}});
+    auto& of_job = starts.try_emplace(slot.job, StartRecord{job.uid, job.attempts + 1, wall, {}}).first->second;
     const Host& host = book.host(slot.host);
     StartRecord::Part part{host.name, host.tenure, {}};
     auto& task = next_task[slot.job];
@@ -361,7 +358,7 @@
       add_to(part.tasks, task);
       ++n;
     }
-    if (!part.tasks.empty()) of_job.back().parts.push_back(std::move(part));
+    if (!part.tasks.empty()) of_job.parts.push_back(std::move(part));
     touched.insert(slot.host);
   }
   ++counters_.passes;
@@ -373,8 +370,8 @@
                 preemption.victims.size(), lag_ * 1000);
   if (!starts.empty()) {
     std::vector<Record> records;
-    for (auto& [j, of_job] : starts) {
-      for (auto& r : of_job) {
+    for (const auto& [j, of_job] : starts) {
+      for (auto& r : in_fitting_records(of_job)) {
         for (const auto& part : r.parts)
           for (const auto& range : part.tasks) counters_.started += range.last - range.first;
         records.emplace_back(std::move(r));
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include "jobs.hpp"
+#include "protocol/messages.hpp"
+
 namespace thistle {
 namespace {
 
@@ -179,6 +182,40 @@
   EXPECT_TRUE(job("j-2").placed.at(0).stopping);
 }
 
+// Tasks that come back scattered, as after a cut, made a start too large for an entry: it was refused, and every leader in
+// turn stepped down for it (kaubaalus ops, operations, once).
+TEST(FittingRecords, ScatteredStartsAndEndsFitIntoAnEntry) {
+  StartRecord r{"j-000001", 3, 1234567.891, {}};
+  std::size_t tasks = 0;
+  for (int h = 0; h < 40; ++h) {
+    StartRecord::Part part{"m-" + std::to_string(100000 + h), 12, {}};
+    for (int i = 0; i < 256; ++i, ++tasks)
+      add_to(part.tasks, 20000 + static_cast<std::uint32_t>(2 * tasks));
+    r.parts.push_back(std::move(part));
+  }
+  std::size_t found = 0;
+  for (const auto& s : in_fitting_records(r)) {
+    EXPECT_LT(encode_record(s).size(), 4000u);
+    EXPECT_EQ(s.attempt, 3u);
+    for (const auto& p : s.parts)
+      for (const auto& range : p.tasks) found += range.last - range.first;
+  }
+  EXPECT_EQ(found, tasks);
+
+  Book book = book_of_red(1e6);
+  book.apply(AcceptRecord{submission("j-1", 4000, 0.01), 0.5, 1});
+  StartRecord all{"j-1", 1, 1, {{"m-1", 1, {}}}};
+  for (std::uint32_t t = 0; t < 4000; t += 2) add_to(all.parts[0].tasks, t);
+  for (const auto& s : in_fitting_records(all)) book.apply(s);
+  ASSERT_EQ(book.job(book.find("j-1")).placed.size(), 2000u);
+  std::size_t off = 0;
+  for (const auto& end : clear_host(book, book.find_host("m-1"))) {
+    EXPECT_LT(encode_record(end).size(), 4000u);
+    for (const auto& range : std::get<OffRecord>(end).tasks) off += range.last - range.first;
+  }
+  EXPECT_EQ(off, 2000u);
+}
+
 // A new leader greets a worker before it has answered any of its reports: its lease must not count from never.
 TEST(Lease, OfAGreetedWorkerCountsFromWhenItWasKnownToHaveSeenTheEpoch) {
   Host host;
