One budget of threads and sockets; a bounded set of senders serves the workers that are due

Connections to workers are kept between commands, the longest unused closed over the bound. A thread that can't be made costs a sender or a connection, never the process. /metrics tells what is used.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <system_error>
 
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
@@ -23,7 +24,6 @@
 constexpr std::size_t kDirectShare = 3;     // one in so many
 constexpr double kSettleReports = 4.0;
 constexpr double kBatchPatience = 1.5;
-constexpr std::size_t kMostProbes = 24;
 constexpr double kProbeTimeout = 1.0;
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
@@ -220,7 +220,7 @@
   // troubles).
   std::vector<std::jthread> threads;
   for (auto& p : probes) {
-    threads.emplace_back([this, &p] {
+    const auto ask = [this, &p] {
       HttpClient worker(p.address);
       const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
       if (!r.ok()) return;
@@ -234,7 +234,13 @@
       } catch (const Malformed& e) {
         spdlog::error("{}: malformed status: {}", p.name, e.what());
       }
-    });
+    };
+    try {
+      threads.emplace_back(ask);
+    } catch (const std::system_error& e) {
+      spdlog::error("no thread to ask {}: {}", p.name, e.what());
+      ask();
+    }
   }
 }
 
@@ -293,7 +299,7 @@
       // Other work is worth a little more patience, but not that of the whole lease: its deadlines are shorter (kaubaalus
       // grown, apart: 13 machines hang for 50 s).
       const bool overdue = !host.placed.empty() && silence > kBatchPatience * suspicious;
-      if ((serves || overdue) && found.size() < kMostProbes) found.push_back(HostIdx{i});
+      if ((serves || overdue) && found.size() < budget_.probes) found.push_back(HostIdx{i});
     }
     // Many at once, or all of a zone, tell of a cut and not of machines.
     if (silent > std::max<std::size_t>(1, heard / 10)) return;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -12,16 +12,21 @@
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 31) ^ device();
 }
-constexpr std::size_t kMostCallsToAPeer = 12;
 }  // namespace
 
 Controller::Controller(Settings settings, Tuning tuning)
-    : settings_(std::move(settings)), tuning_(tuning), incarnation_(random_word() >> 2), random_(random_word()) {
+    : settings_(std::move(settings)),
+      tuning_(tuning),
+      budget_(split_budget(tuning.threads, settings_.max_sockets, settings_.peers.size())),
+      incarnation_(random_word() >> 2),
+      random_(random_word()),
+      due_(std::max<std::size_t>(budget_.senders / 4, 1)),
+      lines_(budget_.lines) {
   follower_since_ = steady_now();
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
   for (const auto& p : settings_.peers) {
-    links_.push_back({p, std::make_unique<FramePool>(p.address, kMostCallsToAPeer),
+    links_.push_back({p, std::make_unique<FramePool>(p.address, Budget::kCallsToAPeer),
                       std::make_unique<FramePool>(p.address, 1), 0});
   }
 }
@@ -29,12 +34,9 @@
 Controller::~Controller() = default;
 
 void Controller::run(std::stop_token stop) {
-  const auto sockets = static_cast<std::size_t>(settings_.max_sockets);
-  // Sockets are shared between clients, peers and what this process opens itself: a connection for each worker, and
-  // those to the state service, without which it can't lead. What is accepted must leave room for them.
-  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, std::max<std::size_t>(sockets / 16, 8),
+  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, budget_.peers,
                                                 [this](const Frame& f) { return on_frame(f); });
-  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, sockets * 11 / 20,
+  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, budget_.clients,
                                               [this](const HttpCall& c) { return on_http(c); });
   duties_.emplace_back([this](std::stop_token st) { ledger_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
@@ -43,6 +45,9 @@
     duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
   duties_.emplace_back([this](std::stop_token st) { leadership_duty(st); });
   spdlog::info("{} serves on {}, peers on {}", settings_.label, settings_.client_listen, settings_.peer_listen);
+  spdlog::info("at most {} of {} threads and {} of {} sockets: {} connections of users and workers, {} of controllers, "
+               "{} senders, {} connections to workers", budget_.most_threads(), budget_.threads, budget_.most_sockets(),
+               budget_.sockets, budget_.clients, budget_.peers, budget_.senders, budget_.lines);
   while (pause_for(stop, 3600)) {
   }
   spdlog::info("stopping");
@@ -55,8 +60,8 @@
     Lock lock(mutex_);
     step_down(lock, "stopping");
   }
-  host_duties_.clear();
-  ended_duties_.clear();
+  for (auto& sender : senders_) sender.request_stop();
+  senders_.clear();
 }
 
 HttpReply error_reply(unsigned status, std::string_view reason, int retry_after_s) {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -14,7 +14,9 @@
 
 #include "bookkeeping/book.hpp"
 #include "bookkeeping/rewriter.hpp"
+#include "coordination/budget.hpp"
 #include "coordination/dealings.hpp"
+#include "coordination/due_workers.hpp"
 #include "coordination/histograms.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
@@ -25,6 +27,7 @@
 #include "protocol/settings.hpp"
 #include "transport/frames.hpp"
 #include "transport/http.hpp"
+#include "transport/kept_lines.hpp"
 
 namespace thistle {
 
@@ -125,20 +128,13 @@
   void want_pass();
 
   // ---- workers (workers.cpp)
-  struct HostDuty {
-    std::condition_variable_any wake;
-    bool poked = false;
-    bool greet = false;
-    double not_before = 0;
-    std::atomic<bool> finished{false};  // its thread needs the lock no more
-    std::jthread thread;
-  };
   void poke(HostIdx h, bool greet = false);
   void poke_placed(const Job& job);
-  // Few duties make and read commands at a time; the rest of them would only keep the processor from renewing the hold.
-  // One that waits for a slow worker gives its turn up.
-  double await_turn(Lock& lock, std::stop_token stop);
-  void host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t term);
+  // Gives turns to senders that rest, or to new ones, while workers are due and turns are left.
+  void give_turns();
+  void sender_duty(std::stop_token stop);
+  // Sends the worker what it is due; `held` is the sender's turn, given up when the worker is slow.
+  void command(Lock& lock, DueWorkers::Next next, bool& held);
   void absorb(const Report& report, bool by_report);
 
   // ---- cloud (cloud.cpp)
@@ -163,6 +159,7 @@
 
   Settings settings_;
   Tuning tuning_;
+  const Budget budget_;
   const std::uint64_t incarnation_;
 
   mutable std::mutex mutex_;
@@ -204,10 +201,13 @@
     double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
-  std::map<HostIdx, std::unique_ptr<HostDuty>> host_duties_;
-  std::vector<std::unique_ptr<HostDuty>> ended_duties_;
-  std::deque<double> turns_;  // steady seconds until which each turn counts
+  DueWorkers due_;
+  KeptLines lines_;
+  std::size_t turns_ = 0;          // held by senders, or given to some that have not woken yet
+  std::size_t turns_given_ = 0;    // the latter
+  std::size_t senders_resting_ = 0;
   std::condition_variable_any turn_given_;
+  std::vector<std::jthread> senders_;
   struct Bounce {  // steady seconds
     double redirected_at = -1e9, forward_until = 0;
   };
--- /dev/null
+++ b/src/coordination/due_workers.cpp
@@ -0,0 +1,63 @@
+#include "coordination/due_workers.hpp"
+
+#include <utility>
+
+namespace thistle {
+
+void DueWorkers::queue(HostIdx h, Worker& w) {
+  w.queued = true;
+  (w.slow ? slow_ : prompt_).push_back(h);
+}
+
+void DueWorkers::add(HostIdx h, bool greet, double now) {
+  Worker& w = workers_[h];
+  w.greet = w.greet || greet;
+  if (w.served) {
+    w.again = true;
+  } else if (!w.queued && now >= w.not_before) {
+    queue(h, w);
+  }
+}
+
+std::optional<DueWorkers::Next> DueWorkers::take() {
+  if (!any()) return std::nullopt;
+  auto& from = prompt_.empty() ? slow_ : prompt_;
+  const HostIdx h = from.front();
+  from.pop_front();
+  Worker& w = workers_[h];
+  w.queued = false;
+  w.served = true;
+  w.counted = w.slow;
+  slow_now_ += w.counted;
+  return Next{h, std::exchange(w.greet, false)};
+}
+
+void DueWorkers::end(HostIdx h, Worker& w) {
+  slow_now_ -= std::exchange(w.counted, false);
+  w.served = false;
+  if (std::exchange(w.again, false) && !w.slow) queue(h, w);
+}
+
+void DueWorkers::served(HostIdx h) {
+  const auto it = workers_.find(h);
+  if (it == workers_.end()) return;
+  it->second.slow = false;
+  end(h, it->second);
+}
+
+void DueWorkers::failed(HostIdx h, double until) {
+  const auto it = workers_.find(h);
+  if (it == workers_.end()) return;
+  it->second.slow = true;
+  it->second.not_before = until;
+  end(h, it->second);
+}
+
+void DueWorkers::clear() {
+  prompt_.clear();
+  slow_.clear();
+  workers_.clear();
+  slow_now_ = 0;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/coordination/due_workers.hpp
@@ -0,0 +1,46 @@
+// Which workers are due for commands, and which is served next. Pure.
+#pragma once
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+// A worker is served by one sender at a time. One that did not answer last time is slow: only some of the senders may
+// wait for slow ones at the same time, so that those who answer are never held up by those who don't.
+class DueWorkers {
+ public:
+  explicit DueWorkers(std::size_t most_slow) : most_slow_(most_slow) {}
+
+  struct Next {
+    HostIdx host;
+    bool greet = false;  // even with nothing to be told
+  };
+  // Due now, or again if it is being served. One that failed to answer is left alone for a while: what it is due for
+  // goes with its next report.
+  void add(HostIdx h, bool greet, double now);
+  std::optional<Next> take();
+  void served(HostIdx h);
+  void failed(HostIdx h, double until);
+  [[nodiscard]] bool any() const { return !prompt_.empty() || (!slow_.empty() && slow_now_ < most_slow_); }
+  [[nodiscard]] std::size_t size() const { return prompt_.size() + slow_.size(); }
+  void clear();
+
+ private:
+  struct Worker {
+    bool queued = false, served = false, again = false, greet = false;
+    bool slow = false, counted = false;  // counted: as one of the slow ones being served
+    double not_before = 0;
+  };
+  void queue(HostIdx h, Worker& w);
+  void end(HostIdx h, Worker& w);
+
+  std::size_t most_slow_, slow_now_ = 0;
+  std::deque<HostIdx> prompt_, slow_;
+  std::unordered_map<HostIdx, Worker> workers_;
+};
+
+}  // namespace thistle
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -254,12 +254,8 @@
   starting_.clear();
   refused_rentals_.clear();  // kinds are numbered anew by the next book
   term_.reset();
-  for (auto& [h, duty] : host_duties_) {
-    duty->thread.request_stop();
-    duty->wake.notify_all();
-    ended_duties_.push_back(std::move(duty));
-  }
-  host_duties_.clear();
+  due_.clear();
+  lines_.clear();
   for (auto& link : links_) link.acked_epoch = 0;
   store_failing_since_ = 0;  // of the writes of this term: a later one must not refuse users for it
   if (known_leader_ == settings_.label) known_leader_.clear();
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -33,9 +33,6 @@
     pass_due_ = false;
     double took = 0;
     if (decisive()) took = pass(lock);
-    // Duties of an earlier term are joined only when they need the lock no more: a join under it of one that did
-    // stopped the whole controller for good (kaubaalus grown, rough: no leader for 65 s).
-    std::erase_if(ended_duties_, [](const auto& d) { return d->finished.load(); });
     lock.unlock();
     // A pass holds the lock that reports and submissions wait for: the rest of the time is theirs.
     if (!pause_for(stop, std::max(tuning_.pass_period_s, kRestAfterPass * took))) return;
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -324,6 +324,17 @@
   line("handed_over_total", counters_.handed_over.load());
   line("ledger_queue", queue_.size());
   line("renewals_late_seconds", lag_.load());
+  line("threads_budget", budget_.threads);
+  line("client_connections", http_server_->connections());
+  line("client_connections_most", budget_.clients);
+  line("peer_connections", frame_server_->connections());
+  line("peer_connections_most", budget_.peers);
+  line("senders", senders_.size());
+  line("senders_busy", senders_.size() - std::min(senders_.size(), senders_resting_));
+  line("senders_most", budget_.senders);
+  line("worker_connections", lines_.size());
+  line("worker_connections_most", budget_.lines);
+  line("workers_due", due_.size());
   if (term_ && term_->book) {
     std::uint64_t waiting = 0, placed = 0;
     for (JobIdx j : term_->book->live()) {
--- a/src/coordination/tuning.hpp
+++ b/src/coordination/tuning.hpp
@@ -1,5 +1,6 @@
 // The operator's own settings: flags and environment variables, with their defaults.
 #pragma once
+#include <cstddef>
 
 namespace thistle {
 
@@ -8,6 +9,7 @@
   double pass_period_s = 0.1;     // least time between passes
   double overrun_s = 5;            // an overrun counts as ending this long after the pass
   unsigned hold_ms = 1300;        // life of the leader's hold
+  std::size_t threads = 2000;      // that the process may have
   bool rent = true;               // rent machines for work that can't be served in time
 };
 
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -1,7 +1,8 @@
-// Direct commands: one duty for each worker, which sends what the worker is due when it is poked.
+// Direct commands: a bounded set of senders serves the workers that are due.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <system_error>
 
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
@@ -37,17 +38,8 @@
 }
 
 void Controller::poke(HostIdx h, bool greet) {
-  auto& duty = host_duties_[h];
-  if (!duty) {
-    duty = std::make_unique<HostDuty>();
-    duty->thread = std::jthread([this, h, d = duty.get(), number = term_number_](std::stop_token stop) {
-      host_duty(stop, h, d, number);
-      d->finished = true;
-    });
-  }
-  duty->poked = true;
-  duty->greet = duty->greet || greet;
-  duty->wake.notify_all();
+  due_.add(h, greet, steady_now());
+  give_turns();
 }
 
 void Controller::poke_placed(const Job& job) {
@@ -56,79 +48,112 @@
   for (auto h : hosts) poke(h);
 }
 
-// Room made for 58 starts at once kept a controller at half speed busy past the end of its hold (lienzo grown, apart).
-double Controller::await_turn(Lock& lock, std::stop_token stop) {
-  for (;;) {
-    const double now = steady_now();
-    std::erase_if(turns_, [&](double until) { return until <= now; });
-    if (stop.stop_requested() || turns_.size() < kTurns) break;
-    turn_given_.wait_for(lock, stop, std::chrono::duration<double>(turns_.front() - now),
-                         [&] { return turns_.size() < kTurns; });
+// Room made for 58 starts at once kept a controller at half speed busy past the end of its hold (lienzo grown, apart): few
+// senders make and read commands at a time, and the rest of them wait for slow workers, or rest.
+void Controller::give_turns() {
+  while (turns_ < kTurns && turns_given_ < due_.size() && due_.any()) {
+    if (senders_resting_ > turns_given_) {
+      ++turns_;
+      ++turns_given_;
+      turn_given_.notify_one();
+      continue;
+    }
+    // All are waiting for slow workers. Where no more may be made, or can be, the next one that is free goes on.
+    if (senders_.size() >= budget_.senders) return;
+    try {
+      senders_.emplace_back([this](std::stop_token stop) { sender_duty(stop); });
+    } catch (const std::system_error& e) {
+      spdlog::error("no thread for a sender: {}", e.what());
+      return;
+    }
+    ++turns_;
+    ++turns_given_;
+    ++senders_resting_;
   }
-  return turns_.emplace_back(steady_now() + kTurn);
 }
 
-void Controller::host_duty(std::stop_token stop, HostIdx h, HostDuty* duty, std::uint64_t number) {
-  std::unique_ptr<HttpClient> client;
-  Lock lock(mutex_);
-  while (!stop.stop_requested() && term_number_ == number) {
-    duty->wake.wait(lock, stop, [&] { return duty->poked; });
-    if (stop.stop_requested() || term_number_ != number) return;
-    // Given back when this command is dealt with, unless it ran out.
-    struct Turn {
-      Controller& c;
-      double until;
-      ~Turn() {
-        if (auto it = std::find(c.turns_.begin(), c.turns_.end(), until); it != c.turns_.end()) c.turns_.erase(it);
-        c.turn_given_.notify_one();
-      }
-    } given{*this, await_turn(lock, stop)};
-    if (stop.stop_requested() || term_number_ != number) return;
-    duty->poked = false;
-    Host& host = term_->book->host(h);
-    if (host.gone || host.address.empty() || !decisive() || steady_now() < duty->not_before) continue;
-    const auto orders = orders_for(*term_->book, h, term_->takeover_epoch);
-    if (orders.empty() && !duty->greet) continue;
-    duty->greet = false;
-    const bool starts = std::any_of(orders.begin(), orders.end(), [](auto& o) { return o.verb == Verb::run; });
-    const auto epoch = term_->epoch;
-    const auto body = commands_body(epoch, std::max<std::uint64_t>(host.tenure, 1), orders);
-    if (!client) client = std::make_unique<HttpClient>(host.address);
-    if (starts) host.in_flight_epoch = epoch;
-    lock.unlock();
-    const auto result = client->post(kCommandsPath, body, kCommandTimeout);
-    Report report;
-    bool understood = false;
-    if (result.is(200) || result.is(409)) {
-      try {
-        report = parse_report(result.body);
-        understood = true;
-      } catch (const Malformed& e) {
-        spdlog::error("malformed answer from worker: {}", e.what());
-      }
-    }
-    lock.lock();
-    if (term_number_ != number) return;
-    Host& again = term_->book->host(h);
-    again.in_flight_epoch = 0;
-    if (starts && result.delivery == Delivery::in_doubt) {
-      // It may be executed much later. Until the worker has seen a higher epoch, nothing is concluded there.
-      again.doubt_epoch = std::max(again.doubt_epoch, epoch);
-      want_pass();
-      spdlog::debug("{}: a start is in doubt", again.name);
-    }
-    if (!understood) {
-      duty->not_before = steady_now() + kPauseAfterFailure;
-      continue;
+void Controller::sender_duty(std::stop_token stop) {
+  Lock lock(mutex_);  // give_turns() counted it among those that rest
+  for (;;) {
+    turn_given_.wait(lock, stop, [&] { return turns_given_ > 0; });
+    if (stop.stop_requested()) return;
+    --turns_given_;
+    --senders_resting_;
+    bool held = true;
+    while (!stop.stop_requested()) {
+      // Its turn was given up for a slow worker: it goes on if there is another.
+      if (!held && turns_ >= kTurns) break;
+      const auto next = due_.take();
+      if (!next) break;
+      if (!held) ++turns_;
+      held = true;
+      command(lock, *next, held);
     }
-    if (report.epoch > term_->epoch) {
-      step_down(lock, "a worker knows of a higher epoch");
-      return;
+    if (held) --turns_;
+    ++senders_resting_;
+    give_turns();
+  }
+}
+
+void Controller::command(Lock& lock, DueWorkers::Next next, bool& held) {
+  const auto number = term_number_;
+  const HostIdx h = next.host;
+  if (!term_ || !term_->book) return;
+  Host& host = term_->book->host(h);
+  std::vector<Order> orders;
+  const bool may = !host.gone && !host.address.empty() && decisive();
+  if (may) orders = orders_for(*term_->book, h, term_->takeover_epoch);
+  if (!may || (orders.empty() && !next.greet)) {
+    due_.served(h);
+    return;
+  }
+  const bool starts = std::any_of(orders.begin(), orders.end(), [](auto& o) { return o.verb == Verb::run; });
+  const auto epoch = term_->epoch;
+  const auto body = commands_body(epoch, std::max<std::uint64_t>(host.tenure, 1), orders);
+  const auto address = host.address;
+  auto client = lines_.take(address);
+  if (starts) host.in_flight_epoch = epoch;
+  lock.unlock();
+  Late late{steady_now() + kTurn, [&] {
+              Lock again(mutex_);
+              held = false;
+              --turns_;
+              give_turns();
+            }};
+  const auto result = client->post(kCommandsPath, body, kCommandTimeout, &late);
+  Report report;
+  bool understood = false;
+  if (result.is(200) || result.is(409)) {
+    try {
+      report = parse_report(result.body);
+      understood = true;
+    } catch (const Malformed& e) {
+      spdlog::error("malformed answer from worker: {}", e.what());
     }
-    if (report.host != again.name) continue;
-    again.direct_at = steady_now();
-    absorb(report, false);
   }
+  lock.lock();
+  if (term_number_ != number) return;
+  lines_.keep(address, std::move(client));
+  Host& again = term_->book->host(h);
+  again.in_flight_epoch = 0;
+  if (starts && result.delivery == Delivery::in_doubt) {
+    // It may be executed much later. Until the worker has seen a higher epoch, nothing is concluded there.
+    again.doubt_epoch = std::max(again.doubt_epoch, epoch);
+    want_pass();
+    spdlog::debug("{}: a start is in doubt", again.name);
+  }
+  if (!understood) {
+    due_.failed(h, steady_now() + kPauseAfterFailure);
+    return;
+  }
+  due_.served(h);
+  if (report.epoch > term_->epoch) {
+    step_down(lock, "a worker knows of a higher epoch");
+    return;
+  }
+  if (report.host != again.name) return;
+  again.direct_at = steady_now();
+  absorb(report, false);
 }
 
 }  // namespace thistle
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <thread>
 
+#include "coordination/budget.hpp"
 #include "coordination/controller.hpp"
 #include "protocol/settings.hpp"
 #include "transport/threads.hpp"
@@ -27,6 +28,9 @@
       ->envname("THISTLEFRONT_OVERRUN")->check(CLI::Range(0.1, 86400.0))->capture_default_str();
   app.add_option("--hold-ms", tuning.hold_ms, "life of the leader's hold, milliseconds")
       ->envname("THISTLEFRONT_HOLD_MS")->check(CLI::Range(500u, 600000u))->capture_default_str();
+  app.add_option("--threads", tuning.threads, "threads that the process may have")
+      ->envname("THISTLEFRONT_THREADS")->check(CLI::Range(thistle::Budget::kLeastThreads, std::size_t{1000000}))
+      ->capture_default_str();
   app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
       ->envname("THISTLEFRONT_RENT")->capture_default_str();
   try {
--- a/src/transport/acceptor.cpp
+++ b/src/transport/acceptor.cpp
@@ -36,12 +36,21 @@
   rest.clear();  // joins
 }
 
+std::size_t Acceptor::open() {
+  std::lock_guard lock(mutex_);
+  return connections_.size() - std::min(connections_.size(), ended_.load());
+}
+
 void Acceptor::sweep() {
+  if (ended_.load() == 0) return;
   std::list<std::unique_ptr<Connection>> ended;
   std::lock_guard lock(mutex_);
   for (auto it = connections_.begin(); it != connections_.end();) {
     auto next = std::next(it);
-    if ((*it)->finished_.load()) ended.splice(ended.end(), connections_, it);
+    if ((*it)->finished_.load()) {
+      ended.splice(ended.end(), connections_, it);
+      --ended_;
+    }
     it = next;
   }
 }
@@ -76,6 +85,7 @@
         }
         // The descriptor is closed when the owner sweeps; until then the peer must not wait for us.
         raw->stream.socket().shutdown();
+        ++ended_;
         raw->finished_.store(true);
       });
     } catch (const std::system_error& e) {
--- a/src/transport/acceptor.hpp
+++ b/src/transport/acceptor.hpp
@@ -35,6 +35,8 @@
   Acceptor& operator=(const Acceptor&) = delete;
 
   void stop();
+  // Connections that have a thread now.
+  [[nodiscard]] std::size_t open();
 
  private:
   void accept_loop(std::stop_token stop);
@@ -45,6 +47,7 @@
   Routine routine_;
   std::mutex mutex_;
   std::list<std::unique_ptr<Connection>> connections_;
+  std::atomic<std::size_t> ended_{0};  // of them, those to be swept
   std::jthread thread_;
 };
 
--- a/src/transport/frames.hpp
+++ b/src/transport/frames.hpp
@@ -89,6 +89,7 @@
   using Handler = std::function<Frame(const Frame&)>;
   FrameServer(const std::string& address, std::size_t most_connections, Handler handler);
   void stop() { acceptor_.stop(); }
+  [[nodiscard]] std::size_t connections() { return acceptor_.open(); }
 
  private:
   Handler handler_;
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -69,8 +69,8 @@
   }
 }
 
-bool HttpClient::connect(double timeout_s) {
-  Socket s = connect_to(address_, timeout_s);
+bool HttpClient::connect(double timeout_s, Late* late) {
+  Socket s = connect_to(address_, timeout_s, late);
   std::lock_guard lock(mutex_);
   if (!s.open() || aborted_) return false;
   stream_ = std::make_unique<Stream>(std::move(s));
@@ -89,7 +89,7 @@
 }
 
 HttpResult HttpClient::call(std::string_view method, const std::string& target, const std::string& body,
-                            double timeout_s) {
+                            double timeout_s, Late* late) {
   const double deadline = steady_now() + timeout_s;
   http::request<http::string_body> request(
       http::string_to_verb(beast::string_view(method.data(), method.size())), target, 11);
@@ -101,14 +101,15 @@
   request.prepare_payload();
   for (int round = 0; round < 2; ++round) {
     const bool reused = stream_ != nullptr;
-    if (!reused && !connect(deadline - steady_now())) return {};
-    stream_->deadline(deadline);
+    if (!reused && !connect(deadline - steady_now(), late)) return {};
+    stream_->deadline(deadline, late);
     ErrorCode ec;
     http::write(*stream_, request, ec);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxAnswer);
     if (!ec) http::read(*stream_, buffer, parser, ec);
+    stream_->deadline(deadline);
     if (!ec) {
       HttpResult result{Delivery::answered, parser.get().result_int(), std::move(parser.get().body())};
       if (!parser.get().keep_alive()) disconnect();
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -34,6 +34,7 @@
   using Handler = std::function<HttpReply(const HttpCall&)>;
   HttpServer(const std::string& address, std::size_t most_connections, Handler handler);
   void stop() { acceptor_.stop(); }
+  [[nodiscard]] std::size_t connections() { return acceptor_.open(); }
 
  private:
   void serve(Acceptor::Connection& connection, std::stop_token stop) const;
@@ -59,18 +60,19 @@
 class HttpClient {
  public:
   explicit HttpClient(std::string address) : address_(std::move(address)) {}
-  HttpResult call(std::string_view method, const std::string& target, const std::string& body,
-                  double timeout_s);
+  HttpResult call(std::string_view method, const std::string& target, const std::string& body, double timeout_s,
+                  Late* late = nullptr);
   HttpResult get(const std::string& target, double timeout_s) { return call("GET", target, "", timeout_s); }
-  HttpResult post(const std::string& target, const std::string& body, double timeout_s) {
-    return call("POST", target, body, timeout_s);
+  HttpResult post(const std::string& target, const std::string& body, double timeout_s, Late* late = nullptr) {
+    return call("POST", target, body, timeout_s, late);
   }
   // Ends a call in progress on another thread, and refuses later ones.
   void abort();
   void disconnect();
+  [[nodiscard]] bool connected() const { return stream_ != nullptr; }
 
  private:
-  bool connect(double timeout_s);
+  bool connect(double timeout_s, Late* late);
   std::string address_;
   std::mutex mutex_;  // guards stream_'s descriptor against abort()
   bool aborted_ = false;
--- /dev/null
+++ b/src/transport/kept_lines.hpp
@@ -0,0 +1,31 @@
+// Connections kept between calls, one for each address at most; over the bound the one longest unused is closed.
+#pragma once
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "transport/http.hpp"
+
+namespace thistle {
+
+class KeptLines {
+ public:
+  explicit KeptLines(std::size_t most) : most_(most) {}
+  // The kept one, or a new one that is not connected yet.
+  std::unique_ptr<HttpClient> take(const std::string& address);
+  void keep(const std::string& address, std::unique_ptr<HttpClient> client);
+  void clear();
+  [[nodiscard]] std::size_t size() const { return used_.size(); }
+
+ private:
+  struct Line {
+    std::string address;
+    std::unique_ptr<HttpClient> client;
+  };
+  std::size_t most_;
+  std::list<Line> used_;  // longest unused first
+  std::unordered_map<std::string, std::list<Line>::iterator> by_address_;
+};
+
+}  // namespace thistle
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <cstring>
 #include <stdexcept>
+#include <utility>
 
 #include "transport/clock.hpp"
 
@@ -39,6 +40,18 @@
   return left <= 0 ? 0 : static_cast<int>(std::ceil(left * 1000.0));
 }
 
+// As poll(), until the deadline; tells on the way that it is late.
+int wait_until(int fd, short events, double deadline, Late* late) {
+  for (;;) {
+    const bool tells = late && late->then && late->at < deadline;
+    pollfd p{fd, events, 0};
+    const int n = ::poll(&p, 1, left_ms(tells ? late->at : deadline));
+    if (n < 0 && errno == EINTR) continue;
+    if (n != 0 || !tells) return n;
+    std::exchange(late->then, nullptr)();
+  }
+}
+
 }  // namespace
 
 Socket& Socket::operator=(Socket&& other) noexcept {
@@ -67,20 +80,14 @@
   return std::make_pair(host, port);
 }
 
-Socket connect_to(const std::string& address, double timeout_s) {
+Socket connect_to(const std::string& address, double timeout_s, Late* late) {
   sockaddr_in to{};
   if (!fill(address, to)) return {};
   Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!s.open()) return {};
   if (::connect(s.fd(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
     if (errno != EINPROGRESS) return {};
-    const double deadline = steady_now() + timeout_s;
-    pollfd p{s.fd(), POLLOUT, 0};
-    int n = 0;
-    do {
-      n = ::poll(&p, 1, left_ms(deadline));
-    } while (n < 0 && errno == EINTR);
-    if (n <= 0) return {};
+    if (wait_until(s.fd(), POLLOUT, steady_now() + timeout_s, late) <= 0) return {};
     int err = 0;
     socklen_t len = sizeof err;
     if (::getsockopt(s.fd(), SOL_SOCKET, SO_ERROR, &err, &len) != 0 || err != 0) return {};
@@ -114,19 +121,10 @@
 }
 
 bool Stream::wait_ready(short events, ErrorCode& ec) const {
-  pollfd p{socket_.fd(), events, 0};
-  for (;;) {
-    int n = ::poll(&p, 1, left_ms(*deadline_));
-    if (n > 0) return true;
-    if (n == 0) {
-      ec = boost::asio::error::timed_out;
-      return false;
-    }
-    if (errno != EINTR) {
-      ec = last_error();
-      return false;
-    }
-  }
+  const int n = wait_until(socket_.fd(), events, *deadline_, late_);
+  if (n < 0) ec = last_error();
+  if (n == 0) ec = boost::asio::error::timed_out;
+  return n > 0;
 }
 
 std::size_t Stream::read_raw(void* data, std::size_t size, ErrorCode& ec) {
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -9,6 +9,7 @@
 #include <boost/system/error_code.hpp>
 #include <boost/system/system_error.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -43,10 +44,16 @@
   int fd_ = -1;
 };
 
+// What is done, once, when a call is not over at this moment; it goes on all the same.
+struct Late {
+  double at = 0;  // steady seconds
+  std::function<void()> then;
+};
+
 // "1.2.3.4:80" split at the colon; empty when it is not of that form.
 std::optional<std::pair<std::string, std::uint16_t>> split_address(const std::string& address);
 // Connects within the time limit; a socket that is not open on failure.
-Socket connect_to(const std::string& address, double timeout_s);
+Socket connect_to(const std::string& address, double timeout_s, Late* late = nullptr);
 // Listens with a deep backlog; throws std::runtime_error with the reason.
 Socket listen_on(const std::string& address);
 // Blocks for the next connection; not open when the listener was shut down or a descriptor could not be had.
@@ -58,7 +65,10 @@
   Stream() = default;
   explicit Stream(Socket socket) : socket_(std::move(socket)) {}
 
-  void deadline(std::optional<double> steady_s) { deadline_ = steady_s; }
+  void deadline(std::optional<double> steady_s, Late* late = nullptr) {
+    deadline_ = steady_s;
+    late_ = late;
+  }
   Socket& socket() { return socket_; }
   [[nodiscard]] const Socket& socket() const { return socket_; }
 
@@ -111,6 +121,7 @@
 
   Socket socket_;
   std::optional<double> deadline_;
+  Late* late_ = nullptr;
 };
 
 }  // namespace thistle
--- /dev/null
+++ b/tests/budget_test.cpp
@@ -0,0 +1,106 @@
+// Threads and sockets are split so that a controller of any size can lead: at fleet size a thread for each worker beside
+// one for each connection came to more than a process may have, and it ended (kaubaalus fleet, calm: 8 times).
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "coordination/budget.hpp"
+#include "coordination/due_workers.hpp"
+#include "transport/clock.hpp"
+#include "state_service.hpp"
+#include "transport/kept_lines.hpp"
+
+namespace thistle {
+namespace {
+
+TEST(Budget, StaysWithinTheThreadsAndSocketsOfEverySize) {
+  for (std::size_t threads : {100u, 300u, 2000u, 20000u}) {
+    for (std::size_t sockets : {256u, 900u, 3059u, 20000u}) {
+      for (std::size_t peers : {0u, 2u, 4u, 6u}) {
+        const auto b = split_budget(threads, sockets, peers);
+        const auto what = std::to_string(threads) + " threads, " + std::to_string(sockets) + " sockets, " + std::to_string(peers) + " peers";
+        EXPECT_LE(b.most_sockets(), sockets) << what;
+        if (threads >= 300) {
+          EXPECT_LE(b.most_threads(), threads) << what;
+        }
+        EXPECT_GE(b.clients, 8u) << what;
+        EXPECT_GE(b.senders, 4u) << what;
+        EXPECT_GE(b.peers, 8u) << what;
+      }
+    }
+  }
+}
+
+TEST(Budget, AThousandWorkersAndTheirUsersHaveRoom) {
+  const auto b = split_budget(2000, 2929, 2);
+  EXPECT_GT(b.clients, 1500u);
+  EXPECT_GT(b.lines, 900u);
+}
+
+TEST(DueWorkers, OneIsServedByOneSenderAndAgainWhenItBecameDueMeanwhile) {
+  DueWorkers due(2);
+  due.add(HostIdx{1}, false, 0);
+  due.add(HostIdx{1}, true, 0);
+  const auto first = due.take();
+  ASSERT_TRUE(first);
+  EXPECT_TRUE(first->greet);
+  EXPECT_FALSE(due.take());
+  due.add(HostIdx{1}, false, 0);
+  EXPECT_FALSE(due.any());  // it is being served
+  due.served(HostIdx{1});
+  const auto again = due.take();
+  ASSERT_TRUE(again);
+  EXPECT_FALSE(again->greet);
+}
+
+TEST(DueWorkers, ThoseThatDoNotAnswerNeverHoldUpTheOthers) {
+  DueWorkers due(2);
+  // Ten that die together: each fails once.
+  for (std::uint32_t i = 0; i < 10; ++i) due.add(HostIdx{i}, false, 0);
+  for (std::uint32_t i = 0; i < 10; ++i) due.failed(due.take()->host, 1.5);
+  due.add(HostIdx{0}, false, 1);
+  EXPECT_FALSE(due.any());  // left alone for a while
+  for (std::uint32_t i = 0; i < 10; ++i) due.add(HostIdx{i}, false, 2);
+  due.add(HostIdx{50}, false, 2);
+  EXPECT_EQ(due.take()->host, HostIdx{50});
+  EXPECT_TRUE(due.take());
+  EXPECT_TRUE(due.take());
+  EXPECT_FALSE(due.take());  // two wait for slow ones: no third
+  due.add(HostIdx{51}, false, 2);
+  EXPECT_EQ(due.take()->host, HostIdx{51});
+  due.served(HostIdx{0});  // it answers again
+  due.add(HostIdx{0}, false, 2);
+  EXPECT_EQ(due.take()->host, HostIdx{0});
+}
+
+TEST(KeptLines, OverTheBoundTheOneLongestUnusedGoes) {
+  const std::string first = testing_::free_address();
+  HttpServer server(first, 10, [](const HttpCall&) { return HttpReply{200, "{}"}; });
+  const std::string second = testing_::free_address();
+  HttpServer other(second, 10, [](const HttpCall&) { return HttpReply{200, "{}"}; });
+  KeptLines lines(1);
+  for (const auto& address : {first, second}) {
+    auto client = lines.take(address);
+    ASSERT_TRUE(client->get("/", 2).ok());
+    lines.keep(address, std::move(client));
+  }
+  EXPECT_EQ(lines.size(), 1u);
+  EXPECT_FALSE(lines.take(first)->connected());
+  EXPECT_TRUE(lines.take(second)->connected());
+}
+
+TEST(HttpClient, ACallThatIsLateSaysSoOnceAndStillGetsItsAnswer) {
+  const auto address = testing_::free_address();
+  HttpServer server(address, 10, [](const HttpCall&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    return HttpReply{200, "{}"};
+  });
+  HttpClient client(address);
+  int told = 0;
+  Late late{steady_now() + 0.05, [&] { ++told; }};
+  EXPECT_TRUE(client.call("POST", "/", "{}", 2, &late).ok());
+  EXPECT_EQ(told, 1);
+}
+
+}  // namespace
+}  // namespace thistle
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -5,6 +5,7 @@
 
 #include <set>
 
+#include "coordination/budget.hpp"
 #include "coordination/controller.hpp"
 #include "protocol/messages.hpp"
 #include "state_service.hpp"
@@ -28,7 +29,7 @@
 
 class Cluster {
  public:
-  explicit Cluster(std::size_t n, unsigned seed = 1)
+  explicit Cluster(std::size_t n, unsigned seed = 1, Tuning tuning = {})
       : state(n, seed), cloud_address_(free_address()),
         cloud_(cloud_address_, 20, [](const HttpCall& c) -> HttpReply {
           if (c.target == kFlavorsPath) return {200, kFlavors};
@@ -55,7 +56,7 @@
       users.push_back(all[i].client_listen);
     }
     for (auto& s : all) {
-      controllers_.push_back(std::make_unique<Controller>(s, Tuning{}));
+      controllers_.push_back(std::make_unique<Controller>(s, tuning));
       threads_.emplace_back([c = controllers_.back().get()](std::stop_token stop) { c->run(stop); });
     }
   }
@@ -345,6 +346,26 @@
 }
 
 // Made before the process stood still, given after: the server looks once more just before it sends.
+// More connections than a process may have threads for: the ones that say nothing go, and nothing else is lost by it.
+TEST(Leadership, ConnectionsPastTheBudgetCostNeitherTheLeadNorTheUsers) {
+  Tuning few;
+  few.threads = Budget::kLeastThreads;
+  Cluster c(1, 1, few);
+  ASSERT_TRUE(c.submit_until("j-0", 20));
+  std::vector<Socket> idle;
+  for (int i = 1; i <= 150; ++i) {
+    idle.push_back(connect_to(c.users[0], 2));
+    if (i % 25 != 0) continue;
+    ASSERT_TRUE(c.submit_until("j-" + std::to_string(i), 10)) << i << " idle connections";
+  }
+  EXPECT_EQ(c.state.leader(), "host-0");
+  const auto metrics = c.ask(0, "GET", "/metrics").body;
+  EXPECT_NE(metrics.find("thistlefront_epoch 1\n"), std::string::npos) << "it never stopped leading";
+  const auto at = metrics.find("thistlefront_client_connections ");
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_LE(std::stoul(metrics.substr(at + 32)), split_budget(few.threads, 400, 0).clients + Budget::kOver);
+}
+
 TEST(HttpServer, AnAnswerPastItsTimeIsNotGiven) {
   const auto address = free_address();
   HttpServer server(address, 5, [](const HttpCall& call) -> HttpReply {
