Machines lost together are told from a cut, zone by zone, and released within seconds

Now silence.* judges each zone by those of its machines that still report: a cut silences all of a zone within a report period. The wait of four periods after a takeover goes: one not heard of yet counts as silent, and is asked before it is released.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -5,6 +5,7 @@
 #include <system_error>
 
 #include "coordination/controller.hpp"
+#include "coordination/silence.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -18,12 +19,9 @@
 constexpr double kQuiet = 20.0;             // no work waits or runs, services aside, for this long
 constexpr double kIdleWhenQuiet = 20.0;
 constexpr double kIdleWhenBusy = 300.0;
-constexpr double kSilentReports = 2.0;      // then it is asked, so that little is lost by a mistake
-constexpr double kSilentSlack = 0.5;
+constexpr double kSilentReports = 2.0;      // report periods
 constexpr double kDirectReports = 1.45;     // report periods within which one that reaches it has been heard
 constexpr std::size_t kDirectShare = 3;     // one in so many
-constexpr double kSettleReports = 4.0;
-constexpr double kBatchPatience = 1.5;
 constexpr double kProbeTimeout = 1.0;
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
@@ -272,40 +270,25 @@
   {
     Lock lock(mutex_);
     if (!decisive() || workers_by_peers()) return;
-    Book& book = *term_->book;
+    const Book& book = *term_->book;
     const double now = steady_now();
-    // After a takeover, workers still find their way to this leader. Those that have not yet are not counted below.
-    if (now - term_->taken_over_at < kSettleReports * settings_.report_s) return;
-    const double suspicious = kSilentReports * settings_.report_s + kSilentSlack;
-    std::size_t silent = 0, heard = 0;
-    std::map<ZoneIdx, std::size_t> heard_in;
-    std::vector<HostIdx> found;
+    std::vector<HeardOf> machines;
     for (std::uint32_t i = 0; i < book.host_count(); ++i) {
       const Host& host = book.host(HostIdx{i});
       if (host.gone || host.lost) continue;
       // One that holds work and was never heard of since the takeover may have died with the earlier leader (lienzo grown,
       // troubles: 12 machines die as the leader ends, and their replicas waited for the whole lease).
       if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
-      const double silence = now - (host.reported ? host.reported_at : term_->taken_over_at);
-      if (silence < suspicious) {
-        ++heard;
-        ++heard_in[host.zone];
-        continue;
-      }
-      ++silent;
       const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
         return book.job(ref.job).spec.shape == Shape::service;
       });
-      // Other work is worth a little more patience, but not that of the whole lease: its deadlines are shorter (kaubaalus
-      // grown, apart: 13 machines hang for 50 s).
-      const bool overdue = !host.placed.empty() && silence > kBatchPatience * suspicious;
-      if ((serves || overdue) && found.size() < budget_.probes) found.push_back(HostIdx{i});
+      machines.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : term_->taken_over_at), serves,
+                          !host.placed.empty()});
     }
-    // Many at once, or all of a zone, tell of a cut and not of machines.
-    if (silent > std::max<std::size_t>(1, heard / 10)) return;
     if (!hears_workers()) return;
-    for (HostIdx h : found)
-      if (heard_in[book.host(h).zone] > 0) probes.push_back({book.host(h).name, book.host(h).address});
+    for (HostIdx h : doubtful(machines, settings_.report_s)) {
+      if (probes.size() < budget_.probes) probes.push_back({book.host(h).name, book.host(h).address});
+    }
   }
   if (probes.empty()) return;
   probe(probes);
