Late machines of zones that are still heard of are asked sooner; earlier keepers bind only whom they can

A zone of many machines is heard of all the time: while reports of it come in as they should within the last second, one that is 1.4 periods late is asked, and looked at once more a second later, when a cut would show. No new work goes to one 1.5 periods late.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -5,7 +5,6 @@
 #include <system_error>
 
 #include "coordination/controller.hpp"
-#include "coordination/silence.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -57,7 +56,7 @@
     if (leading && now - listed_at > std::max(1.0, settings_.list_lag_s / 2) && list_machines(cloud)) listed_at = now;
     if (deciding) {
       watch_workers();
-      release_silent(cloud);
+      release_silent(cloud, stop);
       release_machines(cloud);
       // Several at a time: one a round, 25 offers took 17 s on the first day and after a loss (kaubaalus fleet, calm).
       const auto most = std::max(1.0, settings_.cloud_rps * kRentShare);
@@ -270,47 +269,52 @@
   if (decisive()) term_->hand_over = "the workers reach other controllers, and not this one";
 }
 
-void Controller::release_silent(HttpClient& cloud) {
+std::vector<HeardOf> Controller::heard_of(double now) const {
+  const Book& book = *term_->book;
+  std::vector<HeardOf> out;
+  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
+    const Host& host = book.host(HostIdx{i});
+    if (host.gone || host.lost) continue;
+    // One that holds work and was never heard of since the takeover may have died with the earlier leader (lienzo grown,
+    // troubles: 12 machines die as the leader ends, and their replicas waited for the whole lease).
+    if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
+    const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
+      return book.job(ref.job).spec.shape == Shape::service;
+    });
+    out.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : term_->taken_over_at), serves,
+                   !host.placed.empty()});
+  }
+  return out;
+}
+
+void Controller::release_silent(HttpClient& cloud, std::stop_token stop) {
+  const double began = steady_now();
   std::vector<Probe> probes;
   {
     Lock lock(mutex_);
-    if (!decisive() || workers_by_peers()) return;
-    const Book& book = *term_->book;
-    const double now = steady_now();
-    std::vector<HeardOf> machines;
-    for (std::uint32_t i = 0; i < book.host_count(); ++i) {
-      const Host& host = book.host(HostIdx{i});
-      if (host.gone || host.lost) continue;
-      // One that holds work and was never heard of since the takeover may have died with the earlier leader (lienzo grown,
-      // troubles: 12 machines die as the leader ends, and their replicas waited for the whole lease).
-      if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
-      const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
-        return book.job(ref.job).spec.shape == Shape::service;
-      });
-      machines.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : term_->taken_over_at), serves,
-                          !host.placed.empty()});
-    }
-    if (!hears_workers()) return;
-    for (HostIdx h : doubtful(machines, settings_.report_s)) {
-      if (probes.size() < budget_.probes) probes.push_back({book.host(h).name, book.host(h).address});
+    if (!decisive() || workers_by_peers() || !hears_workers()) return;
+    for (HostIdx h : doubtful(heard_of(steady_now()), settings_.report_s)) {
+      const Host& host = term_->book->host(h);
+      if (probes.size() < budget_.probes) probes.push_back({host.name, host.address});
     }
   }
   if (probes.empty()) return;
   probe(probes);
+  std::erase_if(probes, [](const Probe& p) { return p.answered; });
+  if (probes.empty()) return;
+  // A cut may refuse connections at once: by the second look it must show in what is heard of the zone.
+  if (!pause_for(stop, std::max(0.0, began + kProbeTimeout - steady_now()))) return;
   std::vector<std::string> names;
   {
     Lock lock(mutex_);
-    // Looked at once more: in the first seconds of a cut the last reports are not old yet.
+    // Looked at once more: a cut may have begun just before they were asked, or one was heard of by way of another controller.
     if (!decisive() || !hears_workers()) return;
-    const double now = steady_now();
-    for (const auto& p : probes) {
-      // Heard of by way of another controller meanwhile: it is this one that does not reach it.
-      const HostIdx h = term_->book->find_host(p.name);
-      if (p.answered || !h.valid()) continue;
-      const Host& host = term_->book->host(h);
-      if (!host.reported || now - host.reported_at > settings_.report_s) names.push_back(p.name);
-    }
+    std::set<std::string> still;
+    for (HostIdx h : doubtful(heard_of(steady_now()), settings_.report_s)) still.insert(term_->book->host(h).name);
+    for (const auto& p : probes)
+      if (still.contains(p.name)) names.push_back(p.name);
   }
+  if (names.size() > 1) spdlog::info("{} machines are silent and do not answer, while others of their zones do", names.size());
   release(cloud, names, "silent");
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -21,6 +21,7 @@
 #include "coordination/histograms.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
+#include "coordination/silence.hpp"
 #include "coordination/store_client.hpp"
 #include "coordination/tuning.hpp"
 #include "protocol/messages.hpp"
@@ -87,8 +88,8 @@
   Beat beat_for(PeerLink& link);
   // How long ago the oldest cancellation was made that is not yet carried out in this zone.
   double owed_in(const std::string& site) const;
-  // By zone: until when other controllers may have answered its workers on their own.
-  std::vector<double> kept_until(double now);
+  // Adds until when other controllers may have answered workers on their own.
+  void note_kept(Fencing& fencing, double now);
   // Whether it goes on answering this worker though it can't tell what the leader, or another one, decides.
   bool keeps(const Report& report, double now) const;
   void learn(std::uint64_t epoch, const std::string& label);
@@ -157,7 +158,9 @@
   // Whether all that is up is known, so that what is missing is not rented twice.
   bool knows_fleet(double now) const;
   void release_machines(HttpClient& cloud);
-  void release_silent(HttpClient& cloud);
+  void release_silent(HttpClient& cloud, std::stop_token stop);
+  // Machines that matter, and since when each is silent.
+  std::vector<HeardOf> heard_of(double now) const;
   bool hears_workers() const;
   // A leader that the workers can't reach, while other controllers can, hands over.
   void watch_workers();
--- a/src/coordination/custody.cpp
+++ b/src/coordination/custody.cpp
@@ -32,9 +32,13 @@
 }
 
 double Granted::kept_until(double now) const {
-  if (!answered_) return std::min(now, taken_over_at_ + span_s_ * (1 + kClockDrift));
+  if (!answered_) return 0;
   if (granted_at_ == 0 || now <= attached_until_) return kept_at_;
   return std::max(kept_at_, std::min(now, granted_at_ + span_s_ * (1 + kClockDrift)));
 }
 
+double Granted::kept_before(double now) const {
+  return answered_ ? kept_at_ : std::min(now, taken_over_at_ + span_s_ * (1 + kClockDrift));
+}
+
 }  // namespace thistle
--- a/src/coordination/custody.hpp
+++ b/src/coordination/custody.hpp
@@ -41,7 +41,9 @@
   void sends(double now) { granted_at_ = now; }
   // The peer answered the beat sent at `sent_at`, which answered its own of the beat sent at `echoed_sent_at` (0: of none).
   void answered(double echoed_sent_at, double now, double kept_ago_s);
+  // Under this leader's epoch; and under an earlier one, which no worker takes that has seen this leader's.
   [[nodiscard]] double kept_until(double now) const;
+  [[nodiscard]] double kept_before(double now) const;
 
  private:
   double span_s_ = 0, taken_over_at_ = 0;
--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -226,12 +226,16 @@
   // a worker greeted with a direct command has a lease that this leader never renewed.
   double since = std::max(host.answered_at, host.fenced_at);
   // A peer that a cut parts from this leader may keep the leases of its own zone for a while.
-  for (std::size_t z = 0; z < fencing.kept_until.size(); ++z)
-    if (z == host.zone.v || !host.zone.valid()) since = std::max(since, fencing.kept_until[z]);
+  const auto note = [&](const std::vector<double>& by_zone) {
+    for (std::size_t z = 0; z < by_zone.size(); ++z)
+      if (z == host.zone.v || !host.zone.valid()) since = std::max(since, by_zone[z]);
+  };
+  note(fencing.kept_until);
   if (host.epoch_seen < fencing.epoch) {
     // Another controller may have answered it under an older epoch until it learned of this one.
     if (fencing.peers_acked_at < 0) return false;
     since = std::max({since, fencing.peers_acked_at, fencing.taken_over_at});
+    note(fencing.kept_before);
   }
   return steady > since + lease_s * (1 + kClockDrift) + kExpiryMargin;
 }
--- a/src/coordination/dealings.hpp
+++ b/src/coordination/dealings.hpp
@@ -38,7 +38,9 @@
   std::uint64_t epoch = 0;          // of this leader's takeover
   double taken_over_at = 0;         // steady seconds
   double peers_acked_at = -1;       // steady seconds; below 0: some peer may still answer under an older epoch
-  std::vector<double> kept_until = {};  // by zone, steady seconds: until when a peer there may have answered on its own
+  // By zone, steady seconds: until when a peer there may have answered on its own, under this leader's epoch and under an
+  // earlier one.
+  std::vector<double> kept_until = {}, kept_before = {};
 };
 // Whether the worker's lease is over for certain, wherever its reports were answered.
 bool lease_over(const Host& host, const Fencing& fencing, double lease_s, double steady);
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -359,17 +359,18 @@
   return owed;
 }
 
-std::vector<double> Controller::kept_until(double now) {
+void Controller::note_kept(Fencing& fencing, double now) {
   Book& book = *term_->book;
-  std::vector<double> out(book.zone_count(), 0);
-  const auto note = [&](const std::string& site, double until) {
+  const auto note = [&](std::vector<double>& by_zone, const std::string& site, double until) {
     const ZoneIdx zone = book.zone_of(site);
-    if (out.size() <= zone.v) out.resize(zone.v + 1, 0);
-    out[zone.v] = std::max(out[zone.v], until);
+    if (by_zone.size() <= zone.v) by_zone.resize(zone.v + 1, 0);
+    by_zone[zone.v] = std::max(by_zone[zone.v], until);
   };
-  note(settings_.site, custody_.last_kept());
-  for (const auto& link : links_) note(link.peer.site, link.granted.kept_until(now));
-  return out;
+  note(fencing.kept_before, settings_.site, custody_.last_kept());
+  for (const auto& link : links_) {
+    note(fencing.kept_until, link.peer.site, link.granted.kept_until(now));
+    note(fencing.kept_before, link.peer.site, link.granted.kept_before(now));
+  }
 }
 
 bool Controller::keeps(const Report& report, double now) const {
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -15,7 +15,7 @@
 constexpr double kIdlePeriod = 1.0;        // a pass at least this often
 constexpr double kRestAfterPass = 4.0;     // times as long as the pass took
 constexpr double kStartWait = 30.0;
-constexpr double kSilentReports = 2.5;     // report periods without a report: no new work goes there
+constexpr double kSilentReports = 1.5;     // report periods without a report: no new work goes there
 constexpr double kTimeGrain = 0.5;        // of ends in the profiles: far finer than estimates are
 constexpr double kDrainSlack = 1.0;
 constexpr double kBumpPeriod = 1.0;
@@ -305,7 +305,8 @@
   const double steady = steady_now(), wall = wall_now();
   const auto number = term_number_;
   Book& book = *term_->book;
-  const Fencing fencing{term_->takeover_epoch, term_->taken_over_at, term_->peers_acked_at, kept_until(steady)};
+  Fencing fencing{term_->takeover_epoch, term_->taken_over_at, term_->peers_acked_at};
+  note_kept(fencing, steady);
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     Host& host = book.host(HostIdx{i});
     if (host.lost || host.gone || !lease_over(host, fencing, settings_.lease_s, steady)) continue;
