Room that comes free by itself in time is waited for, not made by stopping others

Now the cores that tasks give back lately, on machines without accelerators, are counted on (six tenths of them) for what can be waited for; stopping goes on for what is left, for replicas, and when the time is nearly over.

--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -1,6 +1,7 @@
 // A controller: leads when it holds the leader's key, and otherwise forwards to the one that does.
 #pragma once
 #include <atomic>
+#include <cmath>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -216,6 +217,16 @@
   struct Demand {
     double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
+  // Cores that tasks gave back by ending, on machines without accelerators, fading with time.
+  struct Turnover {
+    static constexpr double kMemory = 8.0;  // seconds
+    double cores = 0, at = 0;
+    [[nodiscard]] double rate(double steady) const { return cores * std::exp((at - steady) / kMemory) / kMemory; }
+    void add(double more, double steady) {
+      cores = cores * std::exp((at - steady) / kMemory) + more;
+      at = steady;
+    }
+  } turnover_;
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   DueWorkers due_;
   KeptLines lines_;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -25,6 +25,20 @@
   return kLedgerPrefix + std::string(12 - std::min<std::size_t>(12, digits.size()), '0') + digits;
 }
 
+double cores_on_plain_machines(const Book& book, const DoneRecord& done) {
+  const JobIdx j = book.find(done.uid);
+  if (!j.valid()) return 0;
+  const Job& job = book.job(j);
+  double cores = 0;
+  for (const auto& range : done.tasks) {
+    for (auto it = job.placed.lower_bound(range.first); it != job.placed.end() && it->first < range.last; ++it) {
+      const Flavor* f = book.flavor(book.host(it->second.host).kind);
+      if (f && f->room.accelerators <= 0) cores += job.spec.need.cores;
+    }
+  }
+  return cores;
+}
+
 }  // namespace
 
 std::uint64_t Controller::enqueue(std::vector<Record> records, Haste haste) {
@@ -354,8 +368,10 @@
     const auto jobs = term.book->job_count();
     if (const auto* accept = std::get_if<AcceptRecord>(&q.record)) accepting_.erase(accept->job.uid);
     if (const auto* start = std::get_if<StartRecord>(&q.record)) note_starts(*start);
-    if (const auto* done = std::get_if<DoneRecord>(&q.record))
+    if (const auto* done = std::get_if<DoneRecord>(&q.record)) {
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
+      turnover_.add(cores_on_plain_machines(*term.book, *done), steady_now());
+    }
     term.book->apply(q.record);
     if (const auto* cancel = std::get_if<CancelRecord>(&q.record))
       if (const JobIdx j = term.book->find(cancel->uid); j.valid()) term.book->job(j).cancelled_at = steady_now();
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -344,7 +344,7 @@
   // What is stopped here makes room that later passes give out, highest tier first.
   std::set<std::string> starts_count;
   for (const auto& [job_class, aims] : wait_aims_) starts_count.insert(job_class);
-  const auto preemption = choose_victims({book, input, plan, within, wall, starts_count});
+  const auto preemption = choose_victims({book, input, plan, within, wall, turnover_.rate(steady), starts_count});
   for (const auto& s : preemption.waived)
     std::erase_if(plan.starts, [&](const Slot& p) { return p.job == s.job && p.host == s.host && p.at == s.at; });
   for (const auto& v : preemption.victims) {
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -13,6 +13,8 @@
 constexpr double kServiceLoss = 1e6;   // stopping a replica costs its users more than any repeated work
 constexpr double kFreshStart = 30.0;   // a start stopped sooner than this counts for nothing
 constexpr double kImageWorth = 10.0;   // core seconds that may be lost for each that a replica need not wait for its image
+constexpr double kOfTurnover = 0.6;    // counted on
+constexpr double kStopTime = 0.5;      // until room made by stopping is free
 constexpr std::size_t kMostUnits = 64; // units that one pass makes room for
 
 struct Candidate {
@@ -59,6 +61,7 @@
       for (const auto& s : in_.plan.holds)
         if (s.job == job->job && s.at - in_.wall <= job->patience_s) wanted -= std::min(wanted, s.count);
       // A gang of several tasks needs all its room at once; its held slot is waited for.
+      wanted -= std::min(wanted, by_itself(*job, wanted));
       if (wanted == 0 || (job->gang && u.units > 1)) continue;
       zones_ = job->zone_used;
       for (const auto& s : in_.plan.starts)
@@ -137,6 +140,16 @@
     return choice;
   }
 
+  // Units for which room comes in time without anybody's being stopped, as it came lately: a profile knows ends by estimates
+  // only, and for each of its tasks a job of 70 stopped another's, a seventh of all work (kaubaalus fleet, calm).
+  std::uint32_t by_itself(const PlanJob& job, std::uint32_t wanted) {
+    if (job.service || job.need.accelerators > 0 || job.need.cores <= 0) return 0;
+    const double in_time = kOfTurnover * in_.turnover * std::max(0.0, job.patience_s - kStopTime) - awaited_;
+    const auto units = std::min<std::uint32_t>(wanted, static_cast<std::uint32_t>(std::max(0.0, in_time) / job.need.cores));
+    awaited_ += units * job.need.cores;
+    return units;
+  }
+
   // Jobs of services that still can keep the aim for their wait.
   std::vector<const PlanJob*> replicas() const {
     std::vector<const PlanJob*> out;
@@ -262,6 +275,7 @@
   const Book& book_;
   std::map<HostIdx, Resources> free_;
   std::vector<Resources> excess_;
+  double awaited_ = 0;  // cores of the turnover that jobs earlier in the order wait for
   std::vector<std::uint32_t> zones_;
   std::set<PieceRef> taken_;
   std::map<std::tuple<Rank, bool, TeamIdx>, bool> stoppable_;
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -48,9 +48,10 @@
     in.jobs.push_back(p);
     in.teams.assign(2, TeamRoom{{1e9, 1e9, 1e9}});
     const Plan plan = make_plan(in);
-    return choose_victims({book, in, plan, within, 1000, {}}).victims;
+    return choose_victims({book, in, plan, within, 1000, turnover, {}}).victims;
   }
   Book book;
+  double turnover = 0;
 };
 
 TEST_F(Preemption, ProductionStopsLowerRankButNeverItsEqual) {
@@ -62,6 +63,19 @@
   EXPECT_TRUE(claim(add("j-4", "blue", Shape::batch, Rank::standard, 1, 0), {}).empty());
 }
 
+TEST_F(Preemption, WhatComesFreeByItselfInTimeIsNotMadeByStopping) {
+  add("j-1", "red", Shape::batch, Rank::standard, 4, 4);
+  const auto urgent = add("j-2", "blue", Shape::batch, Rank::high, 1, 0);
+  EXPECT_EQ(claim(urgent, {}).size(), 1u);
+  turnover = 2;
+  EXPECT_TRUE(claim(urgent, {}).empty());
+  turnover = 0.5;  // less than a core within its patience
+  EXPECT_EQ(claim(urgent, {}).size(), 1u);
+  const auto replica = add("j-3", "blue", Shape::service, Rank::prod, 1, 0);
+  turnover = 100;
+  EXPECT_EQ(claim(replica, {}).size(), 1u) << "replicas do not wait";
+}
+
 TEST_F(Preemption, AGuaranteeStopsOnlyWhatAnotherTeamHasBeyondItsOwn) {
   const auto beyond = add("j-1", "red", Shape::batch, Rank::standard, 4, 4);
   const auto mine = add("j-2", "blue", Shape::batch, Rank::standard, 1, 0);
@@ -112,7 +126,7 @@
     const Plan plan = make_plan(in);
     ASSERT_EQ(plan.starts.size(), 1u);
     EXPECT_EQ(plan.starts[0].host, in.hosts[1].host);
-    const auto out = choose_victims({book, in, plan, {}, 1000, {}});
+    const auto out = choose_victims({book, in, plan, {}, 1000, 0, {}});
     EXPECT_EQ(out.victims.size(), ran < 10 ? 1u : 0u);
     EXPECT_EQ(out.waived.size(), out.victims.size());
   }
