--- a/src/coordination/custody.cpp
+++ b/src/coordination/custody.cpp
@@ -26,6 +26,7 @@
 
 void Granted::answered(double echoed_sent_at, double now, double kept_ago_s) {
   answered_ = true;
+  marked_at_ = now;
   kept_at_ = std::max(kept_at_, now - kept_ago_s);
   // It had the leader's answer to what it asked after that beat, so it does not go on without it before this.
   if (echoed_sent_at > 0) attached_until_ = echoed_sent_at + kDetached * (1 - kClockDrift);
--- a/src/coordination/custody.hpp
+++ b/src/coordination/custody.hpp
@@ -37,8 +37,9 @@
   // An earlier leader's grants were made before it ceased to lead, which was before `taken_over_at`.
   Granted(double span_s, double taken_over_at) : span_s_(span_s), taken_over_at_(taken_over_at) {}
 
-  // A beat that answers what the peer asked in its latest answer goes out now.
-  void sends(double now) { granted_at_ = now; }
+  // A beat goes out that gives the mark of the peer's latest answer back. What it grants counts from that mark, however often
+  // it is sent: with the time of sending, a peer that was cut off for good seemed to keep its zone for good.
+  void sends() { granted_at_ = marked_at_; }
   // The peer answered the beat sent at `sent_at`, which answered its own of the beat sent at `echoed_sent_at` (0: of none).
   void answered(double echoed_sent_at, double now, double kept_ago_s);
   // Under this leader's epoch; and under an earlier one, which no worker takes that has seen this leader's.
@@ -47,7 +48,7 @@
 
  private:
   double span_s_ = 0, taken_over_at_ = 0;
-  double granted_at_ = 0, attached_until_ = 0, kept_at_ = 0;
+  double marked_at_ = 0, granted_at_ = 0, attached_until_ = 0, kept_at_ = 0;
   bool answered_ = false;
 };
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -340,7 +340,7 @@
   beat.marked_by = link.marked_by;
   beat.mark = link.mark;
   beat.owed_ms = static_cast<std::uint32_t>(owed * 1000) + 1;
-  link.granted.sends(steady_now());
+  link.granted.sends();
   return beat;
 }
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -263,7 +263,7 @@
   void beat() {
     Leader& l = *leader_;
     const double sent = now_, echoed_sent_at = l.mark > 0 ? l.marked_sent_at : 0, mark = l.mark, owes = owed();
-    if (mark > 0) l.granted.sends(now_);
+    if (mark > 0) l.granted.sends();
     const auto term = l.takeover, epoch = l.epoch;
     const bool held = uniform(0, 1) < 0.5;
     if (now_ < zone_cut_until_ && !held) return;
