--- a/src/coordination/budget.cpp
+++ b/src/coordination/budget.cpp
@@ -5,16 +5,18 @@
 namespace thistle {
 
 namespace {
-constexpr std::size_t kDuties = 16;         // and one for each peer
-constexpr std::size_t kOwnSockets = 12;     // two that listen, state service, cloud; and some to spare
-constexpr std::size_t kBeats = 1;           // connections to a peer that carry beats
+constexpr std::size_t kDuties = 16;      // and one for each peer
+constexpr std::size_t kOwnSockets = 12;  // two that listen, state service, cloud; and some to spare
+constexpr std::size_t kBeats = 1;        // connections to a peer that carry beats
 constexpr std::size_t kFewestClients = 8, kFewestLines = 4;
 
 std::size_t left_of(std::size_t all, std::size_t taken, std::size_t least) {
   return all > taken + least ? all - taken : least;
 }
 
-std::size_t own_sockets(std::size_t peers) { return kOwnSockets + peers * (Budget::kCallsToAPeer + kBeats); }
+std::size_t own_sockets(std::size_t peers) {
+  return kOwnSockets + peers * (Budget::kCallsToAPeer + kBeats);
+}
 }  // namespace
 
 std::size_t Budget::most_sockets() const {
@@ -26,8 +28,10 @@
   b.threads = threads;
   b.sockets = sockets;
   b.own = kDuties + peers;
-  // Twice what a peer opens: it may have begun anew before the connections of its earlier process are known to be dead.
-  b.peers = std::clamp<std::size_t>(2 * peers * (Budget::kCallsToAPeer + kBeats), 8, std::max<std::size_t>(sockets / 16, 8));
+  // Twice what a peer opens: it may have begun anew before the connections of its earlier process are known
+  // to be dead.
+  b.peers = std::clamp<std::size_t>(2 * peers * (Budget::kCallsToAPeer + kBeats), 8,
+                                    std::max<std::size_t>(sockets / 16, 8));
   b.senders = std::clamp<std::size_t>(std::min(threads, sockets) / 16, 4, 128);
   b.probes = std::clamp<std::size_t>(std::min(threads, sockets) / 32, 2, 64);
   const std::size_t rest = b.peers + 2 * Budget::kOver + b.senders + b.probes;
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -21,6 +21,7 @@
 constexpr double kSilentReports = 2.0;      // report periods
 constexpr double kDirectReports = 1.45;     // report periods within which one that reaches it has been heard
 constexpr std::size_t kDirectShare = 3;     // one in so many
+constexpr double kStalled = 10.0;           // seconds that planned starts may take into the ledger
 constexpr double kProbeTimeout = 1.0;
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
@@ -55,6 +56,7 @@
     if (leading && now - flavors_at > kFlavorsPeriod && learn_flavors(cloud)) flavors_at = now;
     if (leading && now - listed_at > std::max(1.0, settings_.list_lag_s / 2) && list_machines(cloud)) listed_at = now;
     if (deciding) {
+      watch_starts();
       watch_workers();
       release_silent(cloud, stop);
       release_machines(cloud);
@@ -246,6 +248,17 @@
   }
 }
 
+// On one play of operations on kaubaalus ops nothing ran for minutes, and nothing in the log said so.
+void Controller::watch_starts() {
+  Lock lock(mutex_);
+  if (!decisive() || start_due_since_ == 0 || stall_told_) return;
+  const double since = steady_now() - start_due_since_;
+  if (since < kStalled) return;
+  stall_told_ = true;
+  spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}", since,
+               queue_.size(), store_failing_since_ != 0 ? "fail" : "go through");
+}
+
 // Cut from the workers only, it keeps its hold and its peers: reports reach it by way of them, its commands fail, and
 // sound machines look dead to it (own day of cuts: 40 released as silent). A few are asked before it gives up, so that
 // workers which only go by way of others, though they need not, are no reason.
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -52,6 +52,7 @@
     std::uint64_t hold = 0;
     double valid_until = 0;            // steady: until then no one else can lead
     double taken_over_at = 0;
+    bool started = false;              // a start of this term is in the ledger
     bool first_of_all = false;         // the ledger was empty: no earlier leader rented or placed anything
     double majority_acked_at = -1;     // steady: a majority of the controllers knew of this term
     double peers_acked_at = -1;        // steady: no other controller answers workers from then on
@@ -163,6 +164,8 @@
   // Machines that matter, and since when each is silent.
   std::vector<HeardOf> heard_of(double now) const;
   bool hears_workers() const;
+  // Tells the operator when work that fits does not start for long.
+  void watch_starts();
   // A leader that the workers can't reach, while other controllers can, hands over.
   void watch_workers();
   struct Probe {
@@ -188,6 +191,9 @@
   double follower_since_ = 0, last_beat_ = 0, leader_since_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
   bool committing_ = false;
+  // Steady seconds: since when starts that fit are planned and none is in the ledger; 0: it is not so.
+  double start_due_since_ = 0;
+  bool stall_told_ = false;
   std::atomic<double> lag_{0};   // seconds by which the leader's renewals run late, lately
   double stand_back_until_ = 0;  // steady seconds: others go first
   double handed_over_at_ = -1e9;
@@ -265,7 +271,7 @@
 
   struct Counters {
     std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0}, kept{0},
-        commits{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0};
+        commits{0}, writes{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0};
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
 
--- a/src/coordination/custody.cpp
+++ b/src/coordination/custody.cpp
@@ -7,7 +7,8 @@
 namespace {
 constexpr double kClockDrift = 0.001;
 constexpr double kMargin = 0.3;
-constexpr double kDetached = 3.0;  // seconds without an answer of the leader before a follower goes on without it
+constexpr double kDetached =
+    3.0;  // seconds without an answer of the leader before a follower goes on without it
 }  // namespace
 
 double custody_span(double cancel_s, double lease_s) {
@@ -20,9 +21,13 @@
   until_ = asked_at + span_s_ - owed_s;
 }
 
-void Custody::drop() { asked_at_ = until_ = 0; }
+void Custody::drop() {
+  asked_at_ = until_ = 0;
+}
 
-bool Custody::keeps(double now) const { return now > asked_at_ + kDetached && now < until_; }
+bool Custody::keeps(double now) const {
+  return now > asked_at_ + kDetached && now < until_;
+}
 
 void Granted::answered(double echoed_sent_at, double now, double kept_ago_s) {
   answered_ = true;
--- a/src/coordination/custody.hpp
+++ b/src/coordination/custody.hpp
@@ -1,21 +1,23 @@
-// Keeping leases alive in a cut. A follower that a cut parts from the leader may, for a while, go on answering the workers
-// of its own zone under the leader's epoch, without orders: so their leases do not lapse. Pure; docs/design.md has the proof.
+// Keeping leases alive in a cut. A follower that a cut parts from the leader may, for a while, go on
+// answering the workers of its own zone under the leader's epoch, without orders: so their leases do not
+// lapse. Pure; docs/design.md has the proof.
 #pragma once
 
 namespace thistle {
 
-// The longest that a follower may go on: what was cancelled in that time must be gone within cancel_s of its user being told,
-// and a worker answered last at its end runs for one lease more.
+// The longest that a follower may go on: what was cancelled in that time must be gone within cancel_s of its
+// user being told, and a worker answered last at its end runs for one lease more.
 double custody_span(double cancel_s, double lease_s);
 
-// On the follower, and on a leader for the time when it can't renew its hold. Times are its own steady seconds.
+// On the follower, and on a leader for the time when it can't renew its hold. Times are its own steady
+// seconds.
 class Custody {
  public:
   // What an earlier process of this controller did is bounded by this one's start.
   Custody(double span_s, double started_at) : span_s_(span_s), last_kept_(started_at) {}
 
-  // The leader answered what was asked at `asked_at`. `owed_s`: how long ago the oldest cancellation was made that is not yet
-  // carried out in this zone; it must be carried out in time as well.
+  // The leader answered what was asked at `asked_at`. `owed_s`: how long ago the oldest cancellation was made
+  // that is not yet carried out in this zone; it must be carried out in time as well.
   void granted(double asked_at, double owed_s);
   // Another leads.
   void drop();
@@ -29,18 +31,20 @@
   double asked_at_ = 0, until_ = 0;
 };
 
-// On the leader, for one peer: until when the peer may have answered workers on its own. Times are the leader's steady
-// seconds.
+// On the leader, for one peer: until when the peer may have answered workers on its own. Times are the
+// leader's steady seconds.
 class Granted {
  public:
   Granted() = default;
   // An earlier leader's grants were made before it ceased to lead, which was before `taken_over_at`.
   Granted(double span_s, double taken_over_at) : span_s_(span_s), taken_over_at_(taken_over_at) {}
 
-  // A beat goes out that gives the mark of the peer's latest answer back. What it grants counts from that mark, however often
-  // it is sent: with the time of sending, a peer that was cut off for good seemed to keep its zone for good.
+  // A beat goes out that gives the mark of the peer's latest answer back. What it grants counts from that
+  // mark, however often it is sent: with the time of sending, a peer that was cut off for good seemed to keep
+  // its zone for good.
   void sends() { granted_at_ = marked_at_; }
-  // The peer answered the beat sent at `sent_at`, which answered its own of the beat sent at `echoed_sent_at` (0: of none).
+  // The peer answered the beat sent at `sent_at`, which answered its own of the beat sent at `echoed_sent_at`
+  // (0: of none).
   void answered(double echoed_sent_at, double now, double kept_ago_s);
   // Under this leader's epoch; and under an earlier one, which no worker takes that has seen this leader's.
   [[nodiscard]] double kept_until(double now) const;
--- a/src/coordination/due_workers.hpp
+++ b/src/coordination/due_workers.hpp
@@ -9,8 +9,9 @@
 
 namespace thistle {
 
-// A worker is served by one sender at a time. One that did not answer last time is slow: only some of the senders may
-// wait for slow ones at the same time, so that those who answer are never held up by those who don't.
+// A worker is served by one sender at a time. One that did not answer last time is slow: only some of the
+// senders may wait for slow ones at the same time, so that those who answer are never held up by those who
+// don't.
 class DueWorkers {
  public:
   explicit DueWorkers(std::size_t most_slow) : most_slow_(most_slow) {}
@@ -19,8 +20,8 @@
     HostIdx host;
     bool greet = false;  // even with nothing to be told
   };
-  // Due now, or again if it is being served. One that failed to answer is left alone for a while: what it is due for
-  // goes with its next report.
+  // Due now, or again if it is being served. One that failed to answer is left alone for a while: what it is
+  // due for goes with its next report.
   void add(HostIdx h, bool greet, double now);
   std::optional<Next> take();
   void served(HostIdx h);
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -260,6 +260,8 @@
   early_answers_.clear();
   unserved_.clear();
   starting_.clear();
+  start_due_since_ = 0;
+  stall_told_ = false;
   refused_rentals_.clear();  // kinds are numbered anew by the next book
   term_.reset();
   due_.clear();
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
@@ -107,7 +108,10 @@
   }
 }
 
-void Controller::charge_writes(std::size_t changes) { write_tokens_ -= static_cast<double>(changes); }
+void Controller::charge_writes(std::size_t changes) {
+  write_tokens_ -= static_cast<double>(changes);
+  counters_.writes += changes;
+}
 
 void Controller::ledger_duty(std::stop_token stop) {
   StoreClient store(settings_.state);
@@ -367,7 +371,13 @@
     auto& q = batch[i];
     const auto jobs = term.book->job_count();
     if (const auto* accept = std::get_if<AcceptRecord>(&q.record)) accepting_.erase(accept->job.uid);
-    if (const auto* start = std::get_if<StartRecord>(&q.record)) note_starts(*start);
+    if (const auto* start = std::get_if<StartRecord>(&q.record)) {
+      note_starts(*start);
+      start_due_since_ = 0;
+      stall_told_ = false;
+      if (!std::exchange(term.started, true))
+        spdlog::info("first start {:.1f} s after the takeover", steady_now() - term.taken_over_at);
+    }
     if (const auto* done = std::get_if<DoneRecord>(&q.record)) {
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
       turnover_.add(cores_on_plain_machines(*term.book, *done), steady_now());
--- a/src/coordination/silence.cpp
+++ b/src/coordination/silence.cpp
@@ -6,20 +6,23 @@
 namespace thistle {
 
 namespace {
-constexpr double kSilentReports = 2.0;   // then it is asked, so that little is lost by a mistake
+constexpr double kSilentReports = 2.0;  // then it is asked, so that little is lost by a mistake
 constexpr double kSilentSlack = 0.5;
-constexpr double kBatchPatience = 1.5;   // times as long for other work: its deadlines are shorter than a lease
-constexpr double kFreshReports = 1.35;   // report periods within which all that can report have done so
-constexpr std::size_t kFew = 3;          // one in so many of a zone may be lost without a thought of a cut
-// With more than that silent, a cut is ruled out only when some of the zone are heard after all must have fallen silent.
+constexpr double kBatchPatience =
+    1.5;  // times as long for other work: its deadlines are shorter than a lease
+constexpr double kFreshReports = 1.35;  // report periods within which all that can report have done so
+constexpr std::size_t kFew = 3;         // one in so many of a zone may be lost without a thought of a cut
+// With more than that silent, a cut is ruled out only when some of the zone are heard after all must have
+// fallen silent.
 constexpr double kSurelyCutReports = 3.5;
 constexpr std::size_t kStillHeard = 10;  // one in so many
-// A zone of many machines is heard of all the time, and falls silent at once when it is cut: there a machine that is only a
-// little late is asked (kaubaalus fleet, zone: 86 machines hang, and deadlines of 28 s leave no time to wait).
-constexpr double kWindow = 1.0;          // seconds; as long as asking takes
+// A zone of many machines is heard of all the time, and falls silent at once when it is cut: there a machine
+// that is only a little late is asked (kaubaalus fleet, zone: 86 machines hang, and deadlines of 28 s leave
+// no time to wait).
+constexpr double kWindow = 1.0;  // seconds; as long as asking takes
 constexpr double kReportsAWindow = 8.0;
 constexpr double kLateReports = 1.4;
-constexpr double kOfExpected = 0.33;     // of the reports that all of a zone would send
+constexpr double kOfExpected = 0.33;  // of the reports that all of a zone would send
 }  // namespace
 
 std::vector<HostIdx> doubtful(const std::vector<HeardOf>& machines, double report_s) {
@@ -39,7 +42,8 @@
     if (!m.serves && !m.works) continue;
     const Zone& z = zones[m.zone];
     const double expected = static_cast<double>(z.known) * kWindow / report_s;
-    const bool brisk = expected >= kReportsAWindow && static_cast<double>(z.just_now) >= kOfExpected * expected;
+    const bool brisk =
+        expected >= kReportsAWindow && static_cast<double>(z.just_now) >= kOfExpected * expected;
     if (brisk && m.silence_s > kLateReports * report_s) {
       out.push_back(m.host);
       continue;
@@ -47,7 +51,8 @@
     if (m.silence_s < (m.serves ? suspicious : kBatchPatience * suspicious)) continue;
     const std::size_t stale = z.known - z.fresh;
     const bool few = z.fresh > 0 && (stale <= 1 || kFew * stale <= z.known);
-    const bool no_cut = z.fresh > 0 && kStillHeard * z.fresh >= z.known && m.silence_s > kSurelyCutReports * report_s;
+    const bool no_cut =
+        z.fresh > 0 && kStillHeard * z.fresh >= z.known && m.silence_s > kSurelyCutReports * report_s;
     if ((few && expected < kReportsAWindow) || no_cut) out.push_back(m.host);
   }
   return out;
--- a/src/coordination/silence.hpp
+++ b/src/coordination/silence.hpp
@@ -14,8 +14,9 @@
   bool works = false;    // any task is
 };
 
-// Those worth asking whether they are alive. A cut silences a whole zone within a report period, a loss of machines leaves
-// the others of the zone as they were: so each zone is judged by those of its machines that report still.
+// Those worth asking whether they are alive. A cut silences a whole zone within a report period, a loss of
+// machines leaves the others of the zone as they were: so each zone is judged by those of its machines that
+// report still.
 std::vector<HostIdx> doubtful(const std::vector<HeardOf>& machines, double report_s);
 
 }  // namespace thistle
--- a/src/transport/kept_lines.hpp
+++ b/src/transport/kept_lines.hpp
@@ -1,4 +1,5 @@
-// Connections kept between calls, one for each address at most; over the bound the one longest unused is closed.
+// Connections kept between calls, one for each address at most; over the bound the one longest unused is
+// closed.
 #pragma once
 #include <list>
 #include <memory>
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -1,13 +1,15 @@
-// Threads and sockets are split so that a controller of any size can lead: at fleet size a thread for each worker beside
-// one for each connection came to more than a process may have, and it ended (kaubaalus fleet, calm: 8 times).
+// Threads and sockets are split so that a controller of any size can lead: at fleet size a thread for each
+// worker beside one for each connection came to more than a process may have, and it ended (kaubaalus fleet,
+// calm: 8 times).
+#include "coordination/budget.hpp"
+
 #include <gtest/gtest.h>
 
 #include <thread>
 
-#include "coordination/budget.hpp"
 #include "coordination/due_workers.hpp"
-#include "transport/clock.hpp"
 #include "state_service.hpp"
+#include "transport/clock.hpp"
 #include "transport/kept_lines.hpp"
 
 namespace thistle {
@@ -18,7 +20,8 @@
     for (std::size_t sockets : {256u, 900u, 3059u, 20000u}) {
       for (std::size_t peers : {0u, 2u, 4u, 6u}) {
         const auto b = split_budget(threads, sockets, peers);
-        const auto what = std::to_string(threads) + " threads, " + std::to_string(sockets) + " sockets, " + std::to_string(peers) + " peers";
+        const auto what = std::to_string(threads) + " threads, " + std::to_string(sockets) + " sockets, " +
+                          std::to_string(peers) + " peers";
         EXPECT_LE(b.most_sockets(), sockets) << what;
         if (threads >= 300) {
           EXPECT_LE(b.most_threads(), threads) << what;
--- a/tests/custody_test.cpp
+++ b/tests/custody_test.cpp
@@ -1,8 +1,9 @@
-// How long a follower keeps leases in a cut, and how long the leader counts on it. The proof is played in safety_test.
-#include <gtest/gtest.h>
-
+// How long a follower keeps leases in a cut, and how long the leader counts on it. The proof is played in
+// safety_test.
 #include "coordination/custody.hpp"
 
+#include <gtest/gtest.h>
+
 namespace thistle {
 namespace {
 
@@ -24,8 +25,8 @@
   EXPECT_FALSE(follower.keeps(134));
 }
 
-// Kaubaalus grown, rough: each beat sent into the cut seemed to grant anew, so that the leases of 24 machines were never over
-// while it lasted, and their replicas waited for 80 s.
+// Kaubaalus grown, rough: each beat sent into the cut seemed to grant anew, so that the leases of 24 machines
+// were never over while it lasted, and their replicas waited for 80 s.
 TEST(Custody, APeerThatIsSilentIsCountedOnForOneSpanOnly) {
   Granted leader(kSpan, 50);
   EXPECT_EQ(leader.kept_until(60), 0) << "nothing was granted in this term";
@@ -34,7 +35,8 @@
   leader.answered(0, 99.5, 99);
   leader.sends();
   leader.answered(99.4, 100, 99);
-  EXPECT_NEAR(leader.kept_until(101), 1, 0.1) << "it has the leader's word, and said when it last kept a lease";
+  EXPECT_NEAR(leader.kept_until(101), 1, 0.1)
+      << "it has the leader's word, and said when it last kept a lease";
   for (double now = 100; now < 300; now += 0.5) leader.sends();
   EXPECT_EQ(leader.kept_until(110), 110) << "it may be keeping leases now";
   EXPECT_NEAR(leader.kept_until(300), 100 + kSpan, 0.1);
