A follower keeps leases under the epoch that was granted, and under no other leader of the same name

Cause, found on rereading: a controller that ends and leads again has the same name, so its followers went on with what its earlier process had granted, under the epoch they knew by then. The new leader counts on neither once they have answered it: a task could be given up while it runs.

Now a grant carries its epoch, ends when a leader of another takeover is heard of, and answers go out under its own epoch. Tests: custody_test; safety_test plays the same code.

--- a/src/coordination/custody.cpp
+++ b/src/coordination/custody.cpp
@@ -15,8 +15,14 @@
   return std::max(0.0, (cancel_s - lease_s) * (1 - kClockDrift) - kMargin);
 }
 
-void Custody::granted(double asked_at, double owed_s) {
+void Custody::heard(std::uint64_t takeover) {
+  if (takeover != takeover_) drop();
+  takeover_ = takeover;
+}
+
+void Custody::granted(std::uint64_t epoch, double asked_at, double owed_s) {
   if (asked_at < asked_at_) return;  // a beat that was held up
+  epoch_ = epoch;
   asked_at_ = asked_at;
   until_ = asked_at + span_s_ - owed_s;
 }
--- a/src/coordination/custody.hpp
+++ b/src/coordination/custody.hpp
@@ -2,6 +2,7 @@
 // answering the workers of its own zone under the leader's epoch, without orders: so their leases do not
 // lapse. Pure; docs/design.md has the proof.
 #pragma once
+#include <cstdint>
 
 namespace thistle {
 
@@ -18,17 +19,22 @@
 
   // The leader answered what was asked at `asked_at`. `owed_s`: how long ago the oldest cancellation was made
   // that is not yet carried out in this zone; it must be carried out in time as well.
-  void granted(double asked_at, double owed_s);
+  void granted(std::uint64_t epoch, double asked_at, double owed_s);
+  // A leader of this takeover was heard of: what an earlier one granted is over, also where it was of the same name.
+  void heard(std::uint64_t takeover);
   // Another leads.
   void drop();
   // Nothing was heard of the leader for some time, and not yet for too long.
   [[nodiscard]] bool keeps(double now) const;
   void kept(double now) { last_kept_ = now; }
   [[nodiscard]] double last_kept() const { return last_kept_; }
+  // Under which it was granted: a later one, known by other ways only, may be another leader's.
+  [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
 
  private:
   double span_s_, last_kept_;
   double asked_at_ = 0, until_ = 0;
+  std::uint64_t epoch_ = 0, takeover_ = 0;
 };
 
 // On the leader, for one peer: until when the peer may have answered workers on its own. Times are the
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -158,7 +158,7 @@
     if (term_number_ != number || role_ == Role::follower) break;
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
-      if (role_ == Role::leading) custody_.granted(asked, owed_in(settings_.site));
+      if (role_ == Role::leading) custody_.granted(term_->epoch, asked, owed_in(settings_.site));
       if (isolated()) {
         hand_over(lock, store, hold, "cut off from its peers and most workers", kStandBack);
         break;
@@ -376,7 +376,7 @@
 }
 
 bool Controller::keeps(const Report& report, double now) const {
-  return custody_.keeps(now) && report.yard == settings_.site && report.epoch <= known_epoch_;
+  return custody_.keeps(now) && report.yard == settings_.site && report.epoch <= custody_.epoch();
 }
 
 void Controller::note_acks() {
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -47,6 +47,7 @@
     if (beat->epoch >= known_epoch_) {
       last_beat_ = steady_now();
       known_takeover_ = beat->takeover;
+      if (role_ == Role::follower) custody_.heard(beat->takeover);
       if (role_ != Role::follower && beat->epoch > term_->epoch) {
         learn(beat->epoch, beat->label);
         step_down(lock, "another leader has a higher epoch");
@@ -56,7 +57,7 @@
     const double now = steady_now();
     // Its own answer to an earlier beat, given back by the leader: what the leader knew then holds since before it was sent.
     if (role_ == Role::follower && beat->epoch == known_epoch_ && beat->label == known_leader_ && beat->marked_by == incarnation_)
-      custody_.granted(static_cast<double>(beat->mark) / 1000, beat->owed_ms / 1000.0);
+      custody_.granted(beat->epoch, static_cast<double>(beat->mark) / 1000, beat->owed_ms / 1000.0);
     return pack(BeatAck{known_epoch_, known_leader_, incarnation_, static_cast<std::uint64_t>(now * 1000),
                         static_cast<std::uint32_t>(std::max(0.0, now - custody_.last_kept()) * 1000)});
   }
@@ -271,7 +272,7 @@
     if (keeps(report, now)) {
       custody_.kept(now);
       ++counters_.kept;
-      return {200, orders_body(known_epoch_, {})};
+      return {200, orders_body(custody_.epoch(), {})};
     }
     FramePool* pool = leader_pool();
     const std::string steward = known_leader_;
--- a/tests/custody_test.cpp
+++ b/tests/custody_test.cpp
@@ -12,16 +12,16 @@
 TEST(Custody, KeepsFromSomeSecondsAfterTheLeadersLastWordUntilItsTimeIsOver) {
   Custody follower(kSpan, 0);
   EXPECT_FALSE(follower.keeps(10)) << "nothing was granted";
-  follower.granted(100, 0);
+  follower.granted(7, 100, 0);
   EXPECT_FALSE(follower.keeps(102)) << "the leader may well be there";
   EXPECT_TRUE(follower.keeps(104));
   EXPECT_FALSE(follower.keeps(120.5));
-  follower.granted(90, 0);  // held up in the cut
+  follower.granted(7, 90, 0);  // held up in the cut
   EXPECT_TRUE(follower.keeps(115.5));
-  follower.granted(130, 15);  // a cancellation made 15 s ago is not carried out yet
+  follower.granted(7, 130, 15);  // a cancellation made 15 s ago is not carried out yet
   EXPECT_TRUE(follower.keeps(134));
   EXPECT_FALSE(follower.keeps(136));
-  follower.drop();
+  follower.heard(8);  // a new leader, if of the same name, counts on what it granted itself
   EXPECT_FALSE(follower.keeps(134));
 }
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -269,10 +269,9 @@
     if (now_ < zone_cut_until_ && !held) return;
     at(std::max(now_, zone_cut_until_) + delay(), [this, term, epoch, mark, owes, sent, echoed_sent_at] {
       if (now_ < zone_cut_until_ || epoch < follower_epoch_) return;
-      if (term != follower_term_) custody_.drop();
-      follower_term_ = term;
+      custody_.heard(term);
       follower_epoch_ = epoch;
-      if (mark > 0) custody_.granted(mark, owes);
+      if (mark > 0) custody_.granted(epoch, mark, owes);
       const double asked = now_, kept_ago = now_ - custody_.last_kept();
       at(now_ + delay(), [this, term, asked, kept_ago, sent, echoed_sent_at] {
         if (leader_->takeover != term || now_ < zone_cut_until_ || sent < leader_->marked_sent_at) return;
@@ -364,10 +363,10 @@
         std::vector<Order> orders;
         std::uint64_t epoch = 0;
         if (cut_off(w) || (cuts_ && w.zone == "y" && uniform(0, 1) < 0.1)) {
-          if (!custody_.keeps(now_) || r.epoch > follower_epoch_) return;
+          if (!custody_.keeps(now_) || r.epoch > custody_.epoch()) return;
           custody_.kept(now_);
           ++kept;
-          epoch = follower_epoch_;
+          epoch = custody_.epoch();
         } else if (to_old) {
           if (now_ >= old_until_) return;
           epoch = old_epoch_;
@@ -487,7 +486,7 @@
   bool cuts_;
   double zone_cut_until_ = 0;
   Custody custody_{custody_span(kCancel, kLease), 0};
-  std::uint64_t follower_term_ = 0, follower_epoch_ = 0;
+  std::uint64_t follower_epoch_ = 0;
   std::priority_queue<Event> events_;
   std::uint64_t order_ = 0, epoch_ = 0, old_epoch_ = 0;
   double now_ = 0, old_until_ = 0;
