--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -19,6 +21,8 @@
       tuning_(tuning),
       budget_(split_budget(tuning.threads, settings_.max_sockets, settings_.peers.size())),
       incarnation_(random_word() >> 2),
+      able_{rollout::kLeastLevel, tuning.state_level_reads, std::min(tuning.state_level_most, tuning.state_level_reads),
+            incarnation_, rollout::kBuild},
       random_(random_word()),
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
       lines_(budget_.lines),
@@ -42,6 +46,7 @@
   duties_.emplace_back([this](std::stop_token st) { ledger_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { cloud_duty(st); });
+  duties_.emplace_back([this](std::stop_token st) { rollout_duty(st); });
   for (std::size_t i = 0; i < links_.size(); ++i)
     duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
   duties_.emplace_back([this](std::stop_token st) { leadership_duty(st); });
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "bookkeeping/book.hpp"
-#include "bookkeeping/rewriter.hpp"
 #include "coordination/budget.hpp"
 #include "coordination/custody.hpp"
 #include "coordination/dealings.hpp"
@@ -25,9 +24,11 @@
 #include "coordination/silence.hpp"
 #include "coordination/store_client.hpp"
 #include "coordination/tuning.hpp"
+#include "ledger/tail.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_messages.hpp"
 #include "protocol/settings.hpp"
+#include "rollout/levels.hpp"
 #include "transport/frames.hpp"
 #include "transport/http.hpp"
 #include "transport/kept_lines.hpp"
@@ -60,11 +61,12 @@
     const char* hand_over = nullptr;   // why it is to give leadership up, in order
     double bumped_at = 0;
     std::unique_ptr<Book> book;        // set when recovered
-    // The ledger's tail, as the committer knows it
-    std::uint64_t next_entry = 0, seq = 0, tail_stamp = 0;
-    std::string tail;                  // encoded records of the newest entry, joined by commas
-    std::uint64_t first_entry = 0;     // the oldest one kept
-    Rewriter rewriter;
+    Tail tail;
+    LevelOn level;                     // the state level that is on
+    std::uint64_t level_stamp = 0;
+    std::optional<rollout::Step> step; // on its way: the rollout duty's, sent by the ledger's writer
+    double rewrote_at = 0;             // steady seconds of the last commit
+    [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
   // ---- requests (requests.cpp)
@@ -82,7 +84,7 @@
 
   // ---- leadership (leadership.cpp)
   void leadership_duty(std::stop_token stop);
-  bool take_leadership(StoreClient& store, std::stop_token stop);
+  bool take_leadership(StoreClient& store, std::stop_token stop, const rollout::Look& look);
   void lead(StoreClient& store, std::stop_token stop);
   void peer_duty(std::stop_token stop, std::size_t peer);
   void note_acks();
@@ -115,6 +117,18 @@
   bool recover(StoreClient& store, std::stop_token stop, std::uint64_t term);
   bool commit(StoreClient& store, std::stop_token stop, Lock& lock);
   bool bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock);
+  // The ledger holds something that this build can't read: the lead is given back, so that one that can read it leads.
+  void give_back_unread(const std::string& why);
+
+  // ---- roll-outs (rollout.cpp)
+  void rollout_duty(std::stop_token stop);
+  // The next step towards another state level, when there is one.
+  void plan_step(StoreClient& store, std::stop_token stop);
+  // What peers answer when asked for their levels; one that does not answer is left out.
+  std::map<std::string, Able> ask_peers(std::stop_token stop);
+  // Sends the step that is due and takes in what came of it.
+  bool take_step(StoreClient& store, std::stop_token stop, Lock& lock);
+  void adopt_level(const LevelOn& on, std::uint64_t stamp);
   // Users are waiting for some records; others can wait a moment and join the next commit, so that many ends cost few
   // writes.
   enum class Haste { user, now, soon };
@@ -181,6 +195,7 @@
   Tuning tuning_;
   const Budget budget_;
   const std::uint64_t incarnation_;
+  const Able able_;  // state levels of this process
 
   mutable std::mutex mutex_;
   Role role_ = Role::follower;
@@ -195,6 +210,9 @@
   double start_due_since_ = 0;
   bool stall_told_ = false;
   std::atomic<double> lag_{0};   // seconds by which the leader's renewals run late, lately
+  // Steady seconds: since when no leader is known that could read the ledger; 0: one is.
+  double unread_since_ = 0;
+  std::string level_waits_for_;  // for what the next state level is waited; empty: for nothing
   double stand_back_until_ = 0;  // steady seconds: others go first
   double handed_over_at_ = -1e9;
   unsigned hand_overs_ = 0;      // shortly after each other
@@ -203,11 +221,7 @@
   std::condition_variable_any queue_filled_;
   std::condition_variable_any applied_;
   std::condition_variable_any pass_wanted_;
-  struct Queued {
-    Record record;
-    std::uint64_t ticket;
-  };
-  std::deque<Queued> queue_;
+  std::deque<Pending> queue_;
   std::uint64_t tickets_ = 0, applied_ticket_ = 0;
   bool users_wait_ = false;  // some of what is queued is a user's
   double commit_at_ = 0;  // steady seconds: when what is queued must go
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -30,12 +30,30 @@
 void Controller::leadership_duty(std::stop_token stop) {
   StoreClient store(settings_.state);
   std::stop_callback abort(stop, [&] { store.abort(); });
+  std::uint32_t told_level = 0;
   double missing_since = 0;  // steady seconds; 0: some controller leads, as far as is known
   while (!stop.stop_requested()) {
-    Row row;
-    const auto got = store.get(kLeaderKey, row);
-    if (got == StoreStatus::ok) missing_since = 0;
-    if (got == StoreStatus::missing) {
+    Rows rows;
+    rollout::Look look;
+    const auto got = store.rows(kLeadPrefix, rows);
+    if (got != StoreStatus::ok) {
+      if (!pause_for(stop, 0.3)) return;
+      continue;
+    }
+    try {
+      look = rollout::look(rows.rows);
+    } catch (const std::exception& e) {
+      spdlog::error("state service: the leader's keys: {}", e.what());
+      if (!pause_for(stop, 1)) return;
+      continue;
+    }
+    // What is on may be beyond this build, which then forwards as any follower does.
+    if (look.on.level != told_level && look.on.level > able_.most)
+      spdlog::error("state level {} is on, and this build reads {} to {}: it never takes the lead, and forwards", look.on.level,
+                    able_.least, able_.most);
+    told_level = look.on.level;
+    if (look.leader) missing_since = 0;
+    if (!look.leader) {
       // Controllers that saw the key go at the same moment try one after the other.
       double jitter = 0;
       {
@@ -55,46 +73,38 @@
         continue;
       }
       if (!pause_for(stop, jitter)) return;
-      if (take_leadership(store, stop)) lead(store, stop), missing_since = 0;
-      continue;
-    }
-    if (got != StoreStatus::ok) {
-      if (!pause_for(stop, 0.3)) return;
-      continue;
-    }
-    LeaderValue leader;
-    try {
-      leader = parse_leader(row.value);
-    } catch (const std::exception& e) {
-      spdlog::error("state service: leader key: {}", e.what());
-      if (!pause_for(stop, 1)) return;
+      if (take_leadership(store, stop, look)) lead(store, stop), missing_since = 0;
       continue;
     }
     {
       Lock lock(mutex_);
-      learn(row.stamp, leader.label);
+      learn(look.leader_stamp, look.leader->label);
     }
     // An earlier process of this controller may have left the key; it goes when its hold ends.
-    if (store.follow(kLeaderKey, row.stamp, kFollowMs) != StoreStatus::ok && !pause_for(stop, 0.3)) return;
+    if (store.follow(kLeadPrefix, rows.rev, kFollowMs) != StoreStatus::ok && !pause_for(stop, 0.3)) return;
   }
 }
 
-bool Controller::take_leadership(StoreClient& store, std::stop_token stop) {
+bool Controller::take_leadership(StoreClient& store, std::stop_token stop, const rollout::Look& look) {
+  const LeaderValue value{settings_.label, incarnation_};
+  if (!rollout::take_lead(look, able_, value, 0)) {
+    pause_for(stop, kLookAgain);
+    return false;
+  }
   std::uint64_t hold = 0;
   const double asked = steady_now();
   if (store.hold(tuning_.hold_ms, hold) != StoreStatus::ok) {
     pause_for(stop, 0.2);
     return false;
   }
-  const auto body =
-      txn_body({{kLeaderKey, 0}}, {{kLeaderKey, leader_value({settings_.label, incarnation_}), hold}}, {});
+  const char* key = lead_key(look.on.level);
   std::uint64_t epoch = 0;
   std::vector<std::string> failed;
-  auto status = store.txn(body, epoch, failed);
+  auto status = store.txn(rollout::take_lead(look, able_, value, hold)->body(), epoch, failed);
   if (status == StoreStatus::in_doubt || status == StoreStatus::conflict) {
     // It may have been applied all the same: the key tells.
     Row row;
-    if (store.get(kLeaderKey, row) == StoreStatus::ok) {
+    if (store.get(key, row) == StoreStatus::ok) {
       try {
         if (parse_leader(row.value).incarnation == incarnation_) {
           status = StoreStatus::ok;
@@ -113,6 +123,8 @@
   term_ = std::make_unique<Term>();
   term_->takeover_epoch = term_->epoch = epoch;
   term_->hold = hold;
+  term_->level = look.on;
+  term_->level_stamp = look.on_stamp;
   term_->taken_over_at = steady_now();
   term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
   if (links_.empty()) term_->peers_acked_at = term_->taken_over_at;
@@ -260,6 +272,7 @@
   early_answers_.clear();
   unserved_.clear();
   starting_.clear();
+  level_waits_for_.clear();
   start_due_since_ = 0;
   stall_told_ = false;
   refused_rentals_.clear();  // kinds are numbered anew by the next book
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "coordination/controller.hpp"
+#include "ledger/reader.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -13,18 +14,13 @@
 
 namespace {
 
-constexpr const char* kLedgerPrefix = "ledger/";
 constexpr double kWriteShare = 0.85;  // of the service's writes that the leader uses
 constexpr double kWriteBurst = 0.7;  // seconds' worth of them that may be made at once
 constexpr double kUsersShare = 0.35; // of those, kept for records that users wait for
 constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
-constexpr std::size_t kEndedInRecord = 100;
-constexpr std::size_t kRemovesACommit = 2;
-
-std::string entry_key(std::uint64_t n) {
-  auto digits = std::to_string(n);
-  return kLedgerPrefix + std::string(12 - std::min<std::size_t>(12, digits.size()), '0') + digits;
-}
+constexpr double kRewriteShare = 0.2;  // of the writes: for entries of another level, while nothing else is to be written
+constexpr double kReadAgain = 1.0;       // seconds
+constexpr double kKeepUnread = 8.0;      // so long one keeps the lead that can't read, where nobody can
 
 double cores_on_plain_machines(const Book& book, const DoneRecord& done) {
   const JobIdx j = book.find(done.uid);
@@ -128,21 +124,34 @@
     }
     lock.lock();
     while (!stop.stop_requested() && term_number_ == number) {
+      // Entries of another level are written anew also while nothing else is to be written.
+      const double rewrite_period = 1 / (write_rate() * kRewriteShare);
+      const auto rewrite_due = [&] {
+        return term_->tail.old_entries() && steady_now() >= term_->rewrote_at + rewrite_period;
+      };
       const auto due = [&] {
-        return term_number_ != number || (term_ && term_->bump_wanted) || (!queue_.empty() && steady_now() >= commit_at_);
+        return term_number_ != number || (term_ && (term_->bump_wanted || term_->step || rewrite_due())) ||
+               (!queue_.empty() && steady_now() >= commit_at_);
       };
       // First for something to write, then for the moment when it must go: with one wait for both, a record that can
       // wait a little would wait for the next one to come (a gang's end, told late on a quiet machine).
-      queue_filled_.wait(lock, stop, [&] {
-        return term_number_ != number || (term_ && term_->bump_wanted) || !queue_.empty();
-      });
+      const auto something = [&] {
+        return term_number_ != number || (term_ && (term_->bump_wanted || term_->step || rewrite_due())) || !queue_.empty();
+      };
+      if (term_->tail.old_entries()) {
+        queue_filled_.wait_for(lock, stop, std::chrono::duration<double>(rewrite_period), something);
+      } else {
+        queue_filled_.wait(lock, stop, something);
+      }
       if (!stop.stop_requested() && !due())
         queue_filled_.wait_for(lock, stop, std::chrono::duration<double>(std::max(commit_at_ - steady_now(), 0.001)), due);
       if (stop.stop_requested() || term_number_ != number) break;
       if (!due()) continue;
       if (term_->bump_wanted && !bump_epoch(store, stop, lock)) continue;
       if (term_number_ != number) break;
-      if (!queue_.empty()) {
+      if (term_->step && !take_step(store, stop, lock)) continue;
+      if (term_number_ != number) break;
+      if ((!queue_.empty() && steady_now() >= commit_at_) || rewrite_due()) {
         commit(store, stop, lock);
         committing_ = false;
         applied_.notify_all();
@@ -156,9 +165,7 @@
   for (const auto& t : settings_.teams) teams.push_back({t.name, t.guarantee, t.limit, {}});
   auto book = std::make_unique<Book>(teams);
   const double began = steady_now();
-  std::uint64_t seq = 0, next = 0, first = UINT64_MAX;
-  std::size_t entries = 0, known = 0;
-  Rewriter rewriter;
+  Reader reader(*book, able_.least, able_.most);
   std::string from;
   for (;;) {
     {
@@ -171,22 +178,9 @@
       continue;
     }
     for (const auto& row : page.rows) {
-      try {
-        const auto n = std::stoull(row.key.substr(std::string(kLedgerPrefix).size()));
-        if (!row.unreadable.empty()) throw Malformed(row.unreadable);
-        const auto& entry = row.entry;
-        for (const auto& r : entry.records) {
-          book->apply(r);
-          if (std::holds_alternative<FlavorsRecord>(r)) rewriter.begins(n, JobIdx{});
-        }
-        for (; known < book->job_count(); ++known) rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(known)});
-        seq = std::max(seq, entry.seq);
-        next = n + 1;
-        first = std::min<std::uint64_t>(first, n);
-        ++entries;
-      } catch (const std::exception& e) {
-        // Going on without it could lose an accepted job: the leader stays in recovery, and says why.
-        spdlog::error("ledger entry {} can't be read: {}", row.key, e.what());
+      if (!reader.take(row)) {
+        give_back_unread(reader.why());
+        pause_for(stop, kReadAgain);
         return false;
       }
       from = row.key;
@@ -195,14 +189,10 @@
   }
   Lock lock(mutex_);
   if (term_number_ != number) return false;
-  // The tail found here is left as it is; this leader's records go into entries of its own.
-  term_->next_entry = next;
-  term_->seq = seq;
-  term_->tail_stamp = 0;
-  term_->tail.clear();
-  term_->first_of_all = entries == 0;
-  term_->first_entry = first == UINT64_MAX ? 0 : first;
-  term_->rewriter = std::move(rewriter);
+  unread_since_ = 0;
+  term_->first_of_all = reader.entries() == 0;
+  const auto entries = reader.entries();
+  term_->tail = Tail(std::move(reader).found(), term_->level.writes());
   term_->book = std::move(book);
   for (const auto& [name, at] : early_answers_) term_->book->host(term_->book->host_named(name)).answered_at = at;
   early_answers_.clear();
@@ -220,100 +210,36 @@
 
 bool Controller::commit(StoreClient& store, std::stop_token stop, Lock& lock) {
   const auto number = term_number_;
-  const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
-  const auto most_puts = std::max<std::size_t>(2, std::min<std::size_t>(settings_.txn_ops - 1, 6));
+  const Tail::Limits limits{static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9),
+                            std::max<std::size_t>(2, std::min<std::size_t>(settings_.txn_ops - 1, 6)), settings_.txn_ops};
   await_write(lock, stop, false);
-  if (stop.stop_requested() || term_number_ != number || queue_.empty()) return false;
+  if (stop.stop_requested() || term_number_ != number) return false;
   Term& term = *term_;
-  // The newest entry is written anew with more records until it is full; then the next one begins.
-  struct Entry {
-    std::uint64_t n, stamp;
-    std::string records;
-  };
-  std::vector<Entry> entries{{term.tail_stamp ? term.next_entry - 1 : term.next_entry, term.tail_stamp, term.tail}};
-  const auto fit = [&](const std::string& text) {
-    if (text.size() + 64 > value_limit)
-      spdlog::error("a ledger record of {} bytes fits into no entry: {}", text.size(), text.substr(0, 60));
-    auto& last = entries.back();
-    if (!last.records.empty() && last.records.size() + text.size() + 64 > value_limit) {
-      if (entries.size() >= most_puts) return false;
-      entries.push_back({last.n + 1, 0, {}});
-    }
-    auto& to = entries.back().records;
-    if (!to.empty()) to += ',';
-    to += text;
-    return true;
-  };
-  // First what is written anew: it is true at this point of the ledger, before the records that follow.
-  auto rewrites = term.rewriter.next(*term.book, term.first_entry, term.next_entry, value_limit);
-  std::vector<std::uint64_t> rewritten_in;
-  EndedRecord ended[2] = {{JobStatus::done, {}}, {JobStatus::aborted, {}}};
-  bool all_fit = true;
-  const auto join = [&](EndedRecord& e) {
-    if (!e.uids.empty()) all_fit = fit(encode_record(e)) && all_fit;
-    e.uids.clear();
-  };
-  // Ended jobs are joined into few records; where these do not fit, nothing counts as written anew.
-  std::stable_partition(rewrites.begin(), rewrites.end(),
-                        [](const Rewriter::Item& r) { return std::holds_alternative<EndedRecord>(r.record); });
-  for (auto& r : rewrites) {
-    if (const auto* e = std::get_if<EndedRecord>(&r.record)) {
-      auto& to = ended[e->status == JobStatus::aborted];
-      to.uids.push_back(e->uids.front());
-      if (to.uids.size() >= kEndedInRecord) join(to);
-      rewritten_in.push_back(entries.back().n);
-      continue;
-    }
-    if (!fit(encode_record(r.record))) break;
-    rewritten_in.push_back(entries.back().n);
-  }
-  join(ended[0]);
-  join(ended[1]);
-  if (!all_fit) rewritten_in.clear();
-  std::vector<Queued> batch;
-  std::vector<std::uint64_t> batch_in;
-  while (!queue_.empty()) {
-    if (!fit(encode_record(queue_.front().record))) break;
-    batch.push_back(std::move(queue_.front()));
-    batch_in.push_back(entries.back().n);
-    queue_.pop_front();
-  }
+  term.rewrote_at = steady_now();
+  auto draft = term.tail.draft(*term.book, queue_, limits);
+  for (const auto& what : draft.too_large) spdlog::error("a ledger record fits into no entry: {}", what);
   commit_at_ = 0;
   if (queue_.empty()) users_wait_ = false;
-  // A tail already full needs no rewriting.
-  if (entries.size() > 1 && entries.front().records.size() == term.tail.size()) entries.erase(entries.begin());
-  // The oldest entries in which no job begins any more.
-  const auto oldest_needed = term.rewriter.oldest_needed(term.next_entry);
-  std::vector<std::string> removes;
-  auto first_entry = term.first_entry;
-  while (first_entry < std::min(oldest_needed, entries.front().n) && removes.size() < kRemovesACommit &&
-         entries.size() + removes.size() < settings_.txn_ops)
-    removes.push_back(entry_key(first_entry++));
-  const auto seq = term.seq + 1;
-  std::vector<Condition> conditions{{kLeaderKey, term.epoch}};
-  std::vector<Put> puts;
-  for (const auto& e : entries) {
-    conditions.push_back({entry_key(e.n), e.stamp});
-    puts.push_back({entry_key(e.n), entry_value(seq, e.records), 0});
-  }
-  const auto body = txn_body(conditions, puts, removes);
-  const auto last_key = puts.back().key;
+  if (draft.changes() == 0) return true;
+  draft.conditions.insert(draft.conditions.begin(), {term.key(), term.epoch});
+  const auto body = txn_body(draft.conditions, draft.puts, draft.removes);
+  const std::string leader_key = term.key(), last_key = draft.puts.empty() ? leader_key : draft.puts.back().key;
   committing_ = true;
   lock.unlock();
-  charge_writes(puts.size() + removes.size());
+  charge_writes(draft.changes());
   const double began = steady_now();
   std::uint64_t stamp = 0;
   for (;;) {
     std::vector<std::string> failed;
     auto status = store.txn(body, stamp, failed);
     if (status == StoreStatus::conflict) {
-      const bool deposed = std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end();
+      const bool deposed = std::find(failed.begin(), failed.end(), leader_key) != failed.end();
       Row row;
       // An earlier try of the same transaction may have been applied without an answer: the entry tells.
       const auto got = deposed ? StoreStatus::missing : store.get(last_key, row);
       if (got == StoreStatus::ok) {
         try {
-          if (parse_entry(row.value).seq == seq) {
+          if (parse_entry(row.value).seq == draft.seq) {
             stamp = row.stamp;
             status = StoreStatus::ok;
           }
@@ -361,12 +287,8 @@
     spdlog::info("the ledger is written again, after {:.1f} s", steady_now() - store_failing_since_);
     store_failing_since_ = 0;
   }
-  term.seq = seq;
-  term.tail = std::move(entries.back().records);
-  term.tail_stamp = stamp;
-  term.next_entry = entries.back().n + 1;
-  term.first_entry = first_entry;
-  term.rewriter.written(rewrites, rewritten_in);
+  term.tail.written(draft, stamp);
+  auto& batch = draft.batch;
   for (std::size_t i = 0; i < batch.size(); ++i) {
     auto& q = batch[i];
     const auto jobs = term.book->job_count();
@@ -385,8 +307,8 @@
     term.book->apply(q.record);
     if (const auto* cancel = std::get_if<CancelRecord>(&q.record))
       if (const JobIdx j = term.book->find(cancel->uid); j.valid()) term.book->job(j).cancelled_at = steady_now();
-    if (term.book->job_count() > jobs) term.rewriter.begins(batch_in[i], JobIdx{static_cast<std::uint32_t>(jobs)});
-    if (std::holds_alternative<FlavorsRecord>(q.record)) term.rewriter.begins(batch_in[i], JobIdx{});
+    if (term.book->job_count() > jobs) term.tail.begins(draft.batch_in[i], JobIdx{static_cast<std::uint32_t>(jobs)});
+    if (std::holds_alternative<FlavorsRecord>(q.record)) term.tail.begins(draft.batch_in[i], JobIdx{});
     applied_ticket_ = q.ticket;
   }
   tell_blame();
@@ -396,23 +318,35 @@
   return true;
 }
 
+void Controller::give_back_unread(const std::string& why) {
+  Lock lock(mutex_);
+  if (role_ != Role::recovering) return;
+  spdlog::error("{}", why);
+  const double now = steady_now();
+  const bool again = unread_since_ != 0;
+  if (!again) unread_since_ = now;
+  // Nobody else could read it either: for the workers' leases one keeps the lead for a while, and then lets others try.
+  if (again && now < term_->taken_over_at + kKeepUnread) return;
+  term_->hand_over = "it can't read the ledger";
+}
+
 // A higher epoch of the same term: commands sent under the lower one are refused by every worker that has seen it.
 bool Controller::bump_epoch(StoreClient& store, std::stop_token stop, Lock& lock) {
   const auto number = term_number_;
   await_write(lock, stop, true);
   if (term_number_ != number) return false;
   const auto old = term_->epoch;
-  const auto body = txn_body({{kLeaderKey, old}},
-                             {{kLeaderKey, leader_value({settings_.label, incarnation_}), term_->hold}}, {});
+  const auto step = rollout::raise_epoch(term_->level, {settings_.label, incarnation_}, old, term_->hold);
+  const std::string key = term_->key();
   charge_writes(1);
   lock.unlock();
   std::uint64_t epoch = 0;
   std::vector<std::string> failed;
-  auto status = store.txn(body, epoch, failed);
+  auto status = store.txn(step.body(), epoch, failed);
   bool deposed = status == StoreStatus::refused;
   if (status == StoreStatus::conflict) {
     Row row;
-    const auto got = store.get(kLeaderKey, row);
+    const auto got = store.get(key, row);
     if (got == StoreStatus::ok) {
       try {
         if (parse_leader(row.value).incarnation == incarnation_ && row.stamp > old) {
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -56,12 +56,15 @@
     }
     const double now = steady_now();
     // Its own answer to an earlier beat, given back by the leader: what the leader knew then holds since before it was sent.
-    if (role_ == Role::follower && beat->epoch == known_epoch_ && beat->label == known_leader_ && beat->marked_by == incarnation_)
+    if (role_ == Role::follower && beat->epoch == known_epoch_ && beat->label == known_leader_ && beat->marked_by == incarnation_) {
+      unread_since_ = 0;  // it may decide, so it has read the ledger
       custody_.granted(beat->epoch, static_cast<double>(beat->mark) / 1000, beat->owed_ms / 1000.0);
+    }
     return pack(BeatAck{known_epoch_, known_leader_, incarnation_, static_cast<std::uint64_t>(now * 1000),
                         static_cast<std::uint32_t>(std::max(0.0, now - custody_.last_kept()) * 1000)});
   }
   if (const auto call = unpack_call(frame)) {
+    if (call->target == kAbleTarget) return pack(HttpReply{200, pack(able_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
     const auto reply =
         route.kind == UserRoute::Kind::report ? on_report(call->body, true) : on_user(route, call->body);
@@ -286,6 +289,10 @@
     }
     return {421, steward_body("")};
   }
+  // Where nobody can read the ledger, leases are kept as followers keep them in a cut: for so long, what was cancelled
+  // before is gone in time.
+  if (!term_->book && unread_since_ != 0 && now - unread_since_ > custody_span(settings_.cancel_s, settings_.lease_s))
+    return {421, steward_body("")};
   if (!may_answer(now)) {
     if (forwarded || !keeps(report, now)) return {421, steward_body("")};
     custody_.kept(now);
@@ -325,6 +332,11 @@
   };
   line("leading", role_ == Role::leading ? 1 : 0);
   line("epoch", known_epoch_);
+  line("state_level", term_ ? term_->level.level : 0);  // on the leader alone
+  line("state_level_writes", term_ ? term_->level.writes() : 0);
+  line("state_level_most", able_.most);
+  if (!level_waits_for_.empty()) out += "thistlefront_state_level_waits_for{reason=\"" + level_waits_for_ + "\"} 1\n";
+  line("ledger_unread_seconds", unread_since_ != 0 ? steady_now() - unread_since_ : 0.0);
   line("accepted_total", counters_.accepted.load());
   line("refused_total", counters_.refused.load());
   line("unavailable_total", counters_.unavailable.load());
--- /dev/null
+++ b/src/coordination/rollout.cpp
@@ -0,0 +1,189 @@
+// Roll-outs: this controller's record in the roster, and, on the leader, the steps towards another state
+// level.
+#include <spdlog/spdlog.h>
+
+#include "coordination/controller.hpp"
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+
+namespace {
+constexpr double kLookPeriod = 5.0;  // seconds between looks at the roster
+constexpr double kSoonAgain = 1.0;
+constexpr double kAskTimeout = 1.0;
+constexpr double kAgain = 0.2;
+}  // namespace
+
+void Controller::rollout_duty(std::stop_token stop) {
+  StoreClient store(settings_.state);
+  std::stop_callback abort(stop, [&] { store.abort(); });
+  const std::string key = kRosterPrefix + settings_.label;
+  // Before anything else its own record: a switch is conditional on what it says.
+  for (bool listed = false; !listed;) {
+    Row row;
+    const auto got = store.get(key, row);
+    if (got == StoreStatus::ok || got == StoreStatus::missing) {
+      rollout::Known known;
+      if (got == StoreStatus::ok) known = rollout::roster_of({row}).at(settings_.label);
+      const auto step = rollout::enlist(settings_.label, able_, got == StoreStatus::ok ? &known : nullptr);
+      std::uint64_t rev = 0;
+      std::vector<std::string> failed;
+      // Without an answer the record is looked at once more.
+      listed =
+          step.kind == rollout::Step::Kind::none || store.txn(step.body(), rev, failed) == StoreStatus::ok;
+      if (listed)
+        spdlog::info("build {}: state levels {} to {}, at most {} to be switched on", able_.build,
+                     able_.least, able_.most, able_.wants);
+    }
+    if (!listed && !pause_for(stop, kSoonAgain)) return;
+  }
+  while (!stop.stop_requested()) {
+    {
+      Lock lock(mutex_);
+      role_changed_.wait(lock, stop, [&] { return role_ == Role::leading; });
+      if (stop.stop_requested()) return;
+    }
+    plan_step(store, stop);
+    if (!pause_for(stop, kLookPeriod)) return;
+  }
+}
+
+std::map<std::string, Able> Controller::ask_peers(std::stop_token stop) {
+  std::map<std::string, Able> out;
+  for (auto& link : links_) {
+    if (stop.stop_requested()) break;
+    const double asked = steady_now();
+    const auto answer = link.calls->ask(pack(PeerCall{"GET", kAbleTarget, ""}), kAskTimeout);
+    const auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
+    if (!reply) continue;
+    // Another answer than one of 200 is that of a build from before levels.
+    const auto able = reply->status == 200 ? unpack_able(reply->body) : std::optional<Able>(Able{});
+    if (able) out[link.peer.label] = *able;
+  }
+  return out;
+}
+
+void Controller::plan_step(StoreClient& store, std::stop_token stop) {
+  Rows keys, records;
+  std::uint64_t number = 0;
+  {
+    Lock lock(mutex_);
+    number = term_number_;
+  }
+  // The roster first, then the peers themselves: an answer is newer than the record that it corrects, and a
+  // record written in between makes the correction fail.
+  if (store.rows(kLeadPrefix, keys) != StoreStatus::ok ||
+      store.rows(kRosterPrefix, records) != StoreStatus::ok)
+    return;
+  const auto answers = ask_peers(stop);
+  rollout::Look look;
+  try {
+    look = rollout::look(keys.rows);
+  } catch (const std::exception& e) {
+    spdlog::error("state service: the leader's keys: {}", e.what());
+    return;
+  }
+  std::vector<std::string> expected{settings_.label};
+  for (const auto& p : settings_.peers) expected.push_back(p.label);
+  // Controllers that the settings count and do not name.
+  while (expected.size() < settings_.count) expected.push_back("unnamed-" + std::to_string(expected.size()));
+  Lock lock(mutex_);
+  if (term_number_ != number || !decisive() || term_->step || look.leader_stamp != term_->epoch) return;
+  rollout::Leading leading{
+      {settings_.label, incarnation_}, term_->epoch, term_->hold, term_->tail.old_entries(), {}};
+  if (term_->tail.generation() != 0)
+    leading.no_older_form = "generation " + std::to_string(term_->tail.generation());
+  auto step = rollout::next_step(look, rollout::roster_of(records.rows), expected, answers, leading,
+                                 wall_now(), tuning_.state_level_soak_s);
+  if (step.changes() > settings_.txn_ops) {
+    step = {};
+    step.waits_for = "transactions of more changes than the state service allows";
+  }
+  if (step.waits_for != level_waits_for_) {
+    level_waits_for_ = step.waits_for;
+    if (!step.waits_for.empty())
+      spdlog::info("state level {} is on; for another one it waits for: {}", look.on.level, step.waits_for);
+  }
+  if (step.kind == rollout::Step::Kind::none) return;
+  term_->step = std::move(step);
+  queue_filled_.notify_all();
+}
+
+void Controller::adopt_level(const LevelOn& on, std::uint64_t stamp) {
+  if (on != term_->level) {
+    if (on.towards != 0) {
+      spdlog::info("state level {} is on and to be lowered: the ledger is written anew at level {}", on.level,
+                   on.towards);
+    } else {
+      spdlog::info("state level {} is switched on, epoch {}", on.level, term_->epoch);
+    }
+  }
+  term_->level = on;
+  term_->level_stamp = stamp;
+  term_->tail.write_at(on.writes());
+}
+
+bool Controller::take_step(StoreClient& store, std::stop_token stop, Lock& lock) {
+  const auto number = term_number_;
+  await_write(lock, stop, false);
+  if (term_number_ != number || !term_->step) return false;
+  const auto step = *term_->step;
+  charge_writes(step.changes());
+  lock.unlock();
+  std::uint64_t rev = 0;
+  std::vector<std::string> failed;
+  auto status = store.txn(step.body(), rev, failed);
+  // Without an answer, or where an earlier try may have been applied, the keys tell. Until they do nothing is
+  // written, for it is not known at which level, nor under which epoch.
+  std::optional<rollout::Look> look;
+  while (status == StoreStatus::conflict || status == StoreStatus::in_doubt) {
+    Rows rows;
+    if (store.rows(kLeadPrefix, rows) == StoreStatus::ok) {
+      try {
+        look = rollout::look(rows.rows);
+        break;
+      } catch (const std::exception& e) {
+        spdlog::error("state service: the leader's keys: {}", e.what());
+      }
+    }
+    const bool goes_on = pause_for(stop, kAgain);
+    lock.lock();
+    if (!goes_on || term_number_ != number) return false;
+    lock.unlock();
+  }
+  lock.lock();
+  if (term_number_ != number) return false;
+  if (status == StoreStatus::unavailable) {
+    lock.unlock();
+    pause_for(stop, kAgain);
+    lock.lock();
+    if (term_number_ == number) term_->step.reset();  // planned anew
+    return false;
+  }
+  if (status == StoreStatus::refused) {
+    step_down(lock, "the state service refused a change of the state level");
+    return false;
+  }
+  term_->step.reset();
+  if (status == StoreStatus::ok) {
+    if (step.raises_epoch()) {
+      term_->epoch = rev;
+      learn(rev, settings_.label);
+    }
+    if (step.sets_level()) adopt_level(step.after, rev);
+    return true;
+  }
+  if (!look->leader || look->leader->incarnation != incarnation_ || look->leader_stamp < term_->epoch) {
+    step_down(lock, "the leader's key is another's");
+    return false;
+  }
+  if (look->leader_stamp > term_->epoch) {
+    term_->epoch = look->leader_stamp;
+    learn(term_->epoch, settings_.label);
+  }
+  adopt_level(look->on, look->on_stamp);
+  return true;
+}
+
+}  // namespace thistle
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -43,6 +43,20 @@
   return parsed(status_of(r), [&] { out = parse_row(r.body); });
 }
 
+StoreStatus StoreClient::rows(const std::string& prefix, Rows& out) {
+  out = {};
+  for (std::string from;;) {
+    auto r = http_.get(list_path(prefix, from), kTimeout);
+    Rows page;
+    const auto status = parsed(status_of(r), [&] { page = parse_rows(r.body); });
+    if (status != StoreStatus::ok) return status;
+    if (from.empty()) out.rev = page.rev;
+    for (auto& row : page.rows) out.rows.push_back(std::move(row));
+    if (!page.truncated || out.rows.empty()) return status;
+    from = out.rows.back().key;
+  }
+}
+
 StoreStatus StoreClient::entries(const std::string& prefix, const std::string& from, EntryPage& out) {
   auto r = http_.get(list_path(prefix, from), kListTimeout);
   return parsed(status_of(r), [&] { out = parse_entries(r.body); });
--- a/src/coordination/store_client.hpp
+++ b/src/coordination/store_client.hpp
@@ -23,6 +23,8 @@
   explicit StoreClient(const std::string& address) : http_(address) {}
 
   StoreStatus get(const std::string& key, Row& out);
+  // All rows under a prefix; `out.rev` is from before or at the look.
+  StoreStatus rows(const std::string& prefix, Rows& out);
   StoreStatus entries(const std::string& prefix, const std::string& from, EntryPage& out);
   // On ok, `rev` is the revision of its changes; on conflict, `failed` names the keys.
   StoreStatus txn(const std::string& body, std::uint64_t& rev, std::vector<std::string>& failed);
--- a/src/coordination/tuning.hpp
+++ b/src/coordination/tuning.hpp
@@ -1,6 +1,9 @@
 // The operator's own settings: flags and environment variables, with their defaults.
 #pragma once
 #include <cstddef>
+#include <cstdint>
+
+#include "rollout/levels.hpp"
 
 namespace thistle {
 
@@ -10,6 +13,9 @@
   double overrun_s = 5;            // an overrun counts as ending this long after the pass
   unsigned hold_ms = 1300;        // life of the leader's hold
   std::size_t threads = 2000;      // that the process may have
+  std::uint32_t state_level_most = rollout::kMostLevel;  // highest state level that it lets be switched on
+  double state_level_soak_s = 30;  // all controllers must have had a level for so long
+  std::uint32_t state_level_reads = rollout::kMostLevel;  // tests alone: plays an older build
   bool rent = true;               // rent machines for work that can't be served in time
 };
 
--- /dev/null
+++ b/src/ledger/reader.cpp
@@ -0,0 +1,50 @@
+#include "ledger/reader.hpp"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace thistle {
+
+bool Reader::fail(const std::string& key, const std::string& reason) {
+  why_ = "ledger entry " + key + " can't be read: " + reason;
+  return false;
+}
+
+bool Reader::take(const EntryPage::Row& row) {
+  const auto& entry = row.entry;
+  std::uint64_t n = 0;
+  try {
+    n = entry_number(row.key);
+  } catch (const std::exception&) {
+    return fail(row.key, "not an entry's key");
+  }
+  // First the level: what is written at one that this build does not have need not look right to it.
+  if (entry.level < least_ || entry.level > most_)
+    return fail(row.key, "it is of state level " + std::to_string(entry.level) + ", and this build reads " +
+                             std::to_string(least_) + " to " + std::to_string(most_));
+  if (!row.unreadable.empty()) return fail(row.key, row.unreadable);
+  if (checked_at(entry.level) && entries_ > 0) {
+    // The first entry kept is linked to ones that are gone, and one behind an entry of level 1 to none.
+    if (entry.before != found_.link)
+      return fail(row.key, "it does not follow entry " + std::to_string(found_.next - 1) +
+                               ": one between them is missing, or one before it is older");
+  }
+  for (const auto& record : entry.records) {
+    book_.apply(record);
+    if (std::holds_alternative<FlavorsRecord>(record)) found_.rewriter.begins(n, JobIdx{});
+  }
+  for (; jobs_ < book_.job_count(); ++jobs_)
+    found_.rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(jobs_)});
+  if (entries_ == 0) found_.first = n;
+  if (entry.level != found_.level) found_.same_level_from = n;
+  found_.level = entry.level;
+  found_.generation = entry.generation;
+  found_.link = checked_at(entry.level) ? link_of(entry.before, n, entry.check) : 0;
+  found_.seq = std::max(found_.seq, entry.seq);
+  found_.next = n + 1;
+  ++entries_;
+  return true;
+}
+
+}  // namespace thistle
--- a/src/bookkeeping/rewriter.cpp
+++ b/src/ledger/rewriter.cpp
@@ -1,13 +1,14 @@
-#include "bookkeeping/rewriter.hpp"
+#include "ledger/rewriter.hpp"
 
 #include <algorithm>
 
 namespace thistle {
 
 namespace {
-constexpr std::size_t kFewEntries = 8;   // a ledger this short is left as it is
-constexpr std::size_t kLogFactor = 2;    // entries kept for each that the book itself would take
-constexpr std::size_t kJobBytes = 400, kTaskBytes = 12, kRangeBytes = 24, kEndedBytes = 24;  // rough sizes in the ledger
+constexpr std::size_t kFewEntries = 8;  // a ledger this short is left as it is
+constexpr std::size_t kLogFactor = 2;   // entries kept for each that the book itself would take
+constexpr std::size_t kJobBytes = 400, kTaskBytes = 12, kRangeBytes = 24,
+                      kEndedBytes = 24;  // rough sizes in the ledger
 constexpr std::size_t kMostItems = 100;  // ranges in one record: well inside an entry
 
 std::uint64_t most_entries(const Book& book, std::size_t entry_bytes) {
@@ -28,12 +29,15 @@
 
 std::vector<Rewriter::Item> Rewriter::next(const Book& book, std::uint64_t first, std::uint64_t next,
                                            std::size_t entry_bytes) const {
+  if (next - first <= most_entries(book, entry_bytes)) return {};
+  return oldest(book, next, entry_bytes / 2);
+}
+
+std::vector<Rewriter::Item> Rewriter::oldest(const Book& book, std::uint64_t next, std::size_t budget) const {
   std::vector<Item> out;
-  if (next - first <= most_entries(book, entry_bytes)) return out;
   const auto oldest = begin_there_.begin();
   // Nothing is moved into the entry that it comes from.
   if (oldest == begin_there_.end() || oldest->first + 1 >= next) return out;
-  const std::size_t budget = entry_bytes / 2;
   std::size_t bytes = 0;
   for (JobIdx j : oldest->second) {
     if (!j.valid()) {
@@ -68,7 +72,8 @@
       partial_covered_ = item.covered;
       continue;
     }
-    // A job in several records begins where the first of them is (went_back: with a later one, its first tasks went).
+    // A job in several records begins where the first of them is (went_back: with a later one, its first
+    // tasks went).
     const std::uint64_t entry = whole ? entries[i] : partial_entry_;
     if (item.job == partial_) partial_ = {};
     for (auto it = begin_there_.begin(); it != begin_there_.end(); ++it) {
--- /dev/null
+++ b/src/ledger/rewriter.hpp
@@ -0,0 +1,47 @@
+// Keeps the ledger short: which jobs begin in which entry, which are to be written anew at the end so that
+// the oldest entries can go, and which entries may go. Pure; the ledger's writer carries it out.
+//
+// The jobs that begin in the oldest entry are written anew, a few records with each commit; an entry in which
+// no job begins any more is removed, oldest first, so that what is left is always a suffix. Reading it gives
+// the same book, since records about a job that is not yet known change nothing.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "bookkeeping/book.hpp"
+
+namespace thistle {
+
+class Rewriter {
+ public:
+  struct Item {
+    JobIdx job;     // not valid: the flavors
+    Record record;  // true of the book as it is; it goes before anything newer
+    std::uint32_t covered = 0;
+    bool begins = false, ends = false;  // the first and the last record of this job
+  };
+
+  // A job's first record, or the flavors (job not valid), is in this entry.
+  void begins(std::uint64_t entry, JobIdx job);
+  // What to write next so that the oldest entry can go; nothing while the ledger is short for what the book
+  // holds. `next` is the number of the entry after the newest, `entry_bytes` about what one entry holds.
+  [[nodiscard]] std::vector<Item> next(const Book& book, std::uint64_t first, std::uint64_t next,
+                                       std::size_t entry_bytes) const;
+  // The same for the oldest entry's jobs however short the ledger is, about `budget` bytes at a time: entries
+  // of a level that is no longer written go this way.
+  [[nodiscard]] std::vector<Item> oldest(const Book& book, std::uint64_t next, std::size_t budget) const;
+  // These, in the order of next() or with ended jobs put first, are in the ledger: items[i] in entries[i] or
+  // a later one. Fewer entries than items: the rest was not written.
+  void written(const std::vector<Item>& items, const std::vector<std::uint64_t>& entries);
+  // Entries below this one are not needed.
+  [[nodiscard]] std::uint64_t oldest_needed(std::uint64_t otherwise) const;
+
+ private:
+  std::map<std::uint64_t, std::vector<JobIdx>> begin_there_;
+  JobIdx partial_;  // being written anew; the first of the oldest entry's jobs
+  std::uint32_t partial_covered_ = 0;
+  std::uint64_t partial_entry_ = 0;  // where its first new record is
+};
+
+}  // namespace thistle
--- /dev/null
+++ b/src/ledger/tail.cpp
@@ -0,0 +1,154 @@
+#include "ledger/tail.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace thistle {
+
+namespace {
+constexpr std::size_t kEndedInRecord = 100;
+constexpr std::size_t kRemovesACommit = 2;
+constexpr std::size_t kKeyDigits = 12;
+constexpr std::size_t kHeadBytes = 64;      // of an entry of level 1, beside its records
+constexpr std::size_t kCheckedBytes = 160;  // of one from level 2 on
+}  // namespace
+
+std::string entry_key(std::uint64_t n) {
+  auto digits = std::to_string(n);
+  return kLedgerPrefix + std::string(kKeyDigits - std::min(kKeyDigits, digits.size()), '0') + digits;
+}
+
+std::uint64_t entry_number(const std::string& key) {
+  return std::stoull(key.substr(std::string(kLedgerPrefix).size()));
+}
+
+Tail::Tail(Found found, std::uint32_t level)
+    : level_(found.level == 0 ? level : found.level),
+      generation_(found.generation),
+      first_(found.first),
+      next_(found.next),
+      seq_(found.seq),
+      same_level_from_(found.same_level_from),
+      before_(found.link),
+      rewriter_(std::move(found.rewriter)) {
+  // The newest entry found is left as it is; this writer's records go into entries of its own.
+  write_at(level);
+}
+
+void Tail::write_at(std::uint32_t level) {
+  if (level == level_) return;
+  if (tail_stamp_ != 0) before_ = tail_link_;
+  tail_stamp_ = 0;
+  tail_.clear();
+  tail_digest_ = 0;
+  level_ = level;
+  same_level_from_ = next_;
+}
+
+Tail::Draft Tail::draft(const Book& book, std::deque<Pending>& queue, const Limits& limits) const {
+  Draft out;
+  out.first = first_;
+  out.seq = seq_ + 1;
+  auto& entries = out.entries;
+  entries.push_back({tail_stamp_ ? next_ - 1 : next_, tail_stamp_, tail_, tail_digest_, before_, 0});
+  const std::size_t head = checked_at(level_) ? kCheckedBytes : kHeadBytes;
+  const auto fit = [&](const Record& record) {
+    const auto encoded = encode_record(record, level_);
+    const auto& text = encoded.text;
+    if (text.size() + head > limits.value_bytes)
+      out.too_large.push_back(std::to_string(text.size()) + " bytes: " + text.substr(0, 60));
+    const auto& last = entries.back();
+    if (!last.records.empty() && last.records.size() + text.size() + head > limits.value_bytes) {
+      if (entries.size() >= limits.puts) return false;
+      entries.push_back({last.n + 1, 0, {}, 0, 0, 0});
+    }
+    auto& to = entries.back();
+    if (!to.records.empty()) to.records += ',';
+    to.records += text;
+    to.digest = digest_with_record(to.digest, encoded);
+    return true;
+  };
+  // First what is written anew: it is true at this point of the ledger, before the records that follow.
+  auto& rewrites = out.rewrites;
+  rewrites = rewriter_.next(book, first_, next_, limits.value_bytes);
+  // Entries of another level go a little sooner than the ledger's length asks for.
+  if (rewrites.empty() && old_entries())
+    rewrites = rewriter_.oldest(book, tail_stamp_ ? next_ : next_ + 1, limits.value_bytes / 8);
+  EndedRecord ended[2] = {{JobStatus::done, {}}, {JobStatus::aborted, {}}};
+  bool all_fit = true;
+  const auto join = [&](EndedRecord& e) {
+    if (!e.uids.empty()) all_fit = fit(e) && all_fit;
+    e.uids.clear();
+  };
+  // Ended jobs are joined into few records; where these do not fit, nothing counts as written anew.
+  std::stable_partition(rewrites.begin(), rewrites.end(), [](const Rewriter::Item& r) {
+    return std::holds_alternative<EndedRecord>(r.record);
+  });
+  for (auto& r : rewrites) {
+    if (const auto* e = std::get_if<EndedRecord>(&r.record)) {
+      auto& to = ended[e->status == JobStatus::aborted];
+      to.uids.push_back(e->uids.front());
+      if (to.uids.size() >= kEndedInRecord) join(to);
+      out.rewritten_in.push_back(entries.back().n);
+      continue;
+    }
+    if (!fit(r.record)) break;
+    out.rewritten_in.push_back(entries.back().n);
+  }
+  join(ended[0]);
+  join(ended[1]);
+  if (!all_fit) out.rewritten_in.clear();
+  while (!queue.empty()) {
+    if (!fit(queue.front().record)) break;
+    out.batch.push_back(std::move(queue.front()));
+    out.batch_in.push_back(entries.back().n);
+    queue.pop_front();
+  }
+  // Each is linked to the one before, the one that is not written again included.
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    auto& e = entries[i];
+    const bool unchanged = i == 0 && tail_stamp_ != 0 && e.records.size() == tail_.size();
+    if (i > 0) e.before = entries[i - 1].link;
+    e.link = unchanged            ? tail_link_
+             : checked_at(level_) ? link_of(e.before, e.n, check_of(out.seq, generation_, e.digest))
+                                  : 0;
+  }
+  // A tail already full needs no rewriting.
+  const bool tail_as_it_was = entries.front().records.size() == tail_.size();
+  const bool nothing = tail_as_it_was && entries.size() == 1;
+  if (tail_as_it_was && !nothing) entries.erase(entries.begin());
+  if (nothing && !old_entries()) return out;
+  // The oldest entries in which no job begins any more.
+  const auto oldest_needed = rewriter_.oldest_needed(next_);
+  const auto puts = nothing ? 0 : entries.size();
+  // One entry stays, whatever it holds: an empty ledger would be a new fleet's.
+  const auto below = std::min({oldest_needed, entries.front().n, nothing ? next_ - 1 : next_});
+  while (out.first < below && out.removes.size() < kRemovesACommit && puts + out.removes.size() < limits.ops)
+    out.removes.push_back(entry_key(out.first++));
+  if (nothing) return out;
+  for (const auto& e : entries) {
+    assert(e.n >= same_level_from_);
+    out.conditions.push_back({entry_key(e.n), e.stamp});
+    out.puts.push_back(
+        {entry_key(e.n), entry_value({level_, generation_, out.seq, e.before}, e.records, e.digest), 0});
+  }
+  return out;
+}
+
+void Tail::written(const Draft& draft, std::uint64_t stamp) {
+  first_ = draft.first;
+  if (!draft.puts.empty()) {
+    const auto& last = draft.entries.back();
+    seq_ = draft.seq;
+    tail_ = last.records;
+    tail_digest_ = last.digest;
+    before_ = last.before;
+    tail_link_ = last.link;
+    tail_stamp_ = stamp;
+    next_ = last.n + 1;
+  }
+  rewriter_.written(draft.rewrites, draft.rewritten_in);
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/ledger/tail.hpp
@@ -0,0 +1,99 @@
+// The ledger's end: what the next commit writes, and what is known of it afterwards. Pure; the ledger's
+// writer sends it.
+//
+// Entries have a number each. The newest is written anew with more records until it is full; then the next
+// one begins. From level 2 on, each tells its level and carries a check of its records and a link to all
+// entries before it.
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "ledger/rewriter.hpp"
+#include "protocol/messages.hpp"
+
+namespace thistle {
+
+inline constexpr const char* kLedgerPrefix = "ledger/";
+std::string entry_key(std::uint64_t n);
+// Throws std::exception where the key is none of an entry.
+std::uint64_t entry_number(const std::string& key);
+
+// A record on its way into the ledger.
+struct Pending {
+  Record record;
+  std::uint64_t ticket = 0;
+};
+
+class Tail {
+ public:
+  // What a reader found; entries of a level other than `level` are to be written anew.
+  struct Found {
+    std::uint64_t first = 0, next = 0, seq = 0;
+    std::uint64_t same_level_from = 0;  // all entries from this one on are of the newest one's level
+    std::uint32_t level = 0;            // of the newest; 0: there is none
+    std::uint64_t generation = 0;
+    std::uint64_t link = 0;  // to all of them; 0 where the newest has none
+    Rewriter rewriter;
+  };
+  Tail() = default;
+  Tail(Found found, std::uint32_t level);
+
+  // Entries are written at this level from now on.
+  void write_at(std::uint32_t level);
+  [[nodiscard]] std::uint32_t level() const { return level_; }
+  // Some entries are of another level than the one that is written.
+  [[nodiscard]] bool old_entries() const { return first_ < same_level_from_; }
+  [[nodiscard]] std::uint64_t count() const { return next_ - first_; }
+  [[nodiscard]] std::uint64_t generation() const { return generation_; }
+  [[nodiscard]] Rewriter& rewriter() { return rewriter_; }
+
+  struct Limits {
+    std::size_t value_bytes = 0;  // an entry stays below
+    std::size_t puts = 0;         // entries in one transaction
+    std::size_t ops = 0;          // puts and removes in one transaction
+  };
+  struct Draft {
+    struct Entry {
+      std::uint64_t n = 0, stamp = 0;
+      std::string records;       // encoded, joined by commas
+      std::uint64_t digest = 0;  // of the records
+      std::uint64_t before = 0, link = 0;
+    };
+    std::vector<Entry> entries;
+    std::vector<Rewriter::Item> rewrites;
+    std::vector<std::uint64_t> rewritten_in;
+    std::vector<Pending> batch;
+    std::vector<std::uint64_t> batch_in;  // entries
+    std::vector<std::string> too_large;   // beginnings of records that fit into no entry
+    std::uint64_t seq = 0, first = 0;
+    std::vector<Condition> conditions;  // of the entries; the leader's own comes on top
+    std::vector<Put> puts;
+    std::vector<std::string> removes;
+    [[nodiscard]] std::size_t changes() const { return puts.size() + removes.size(); }
+  };
+  // What goes next: some of what is to be written anew, then as much of the queue as fits, which is taken off
+  // it. No puts: there is nothing to write.
+  Draft draft(const Book& book, std::deque<Pending>& queue, const Limits& limits) const;
+  // It is in the ledger; `stamp` is its revision. The batch's records are still to be applied to the book.
+  void written(const Draft& draft, std::uint64_t stamp);
+  // A record of the batch made a job known, or told the flavors (job not valid).
+  void begins(std::uint64_t entry, JobIdx job) { rewriter_.begins(entry, job); }
+
+ private:
+  std::uint32_t level_ = 1;
+  std::uint64_t generation_ = 0;
+  std::uint64_t first_ = 0, next_ = 0;  // the oldest entry kept, and the number after the newest
+  std::uint64_t seq_ = 0;
+  std::uint64_t same_level_from_ = 0;
+  std::uint64_t tail_stamp_ = 0;  // of the newest entry, where it is this writer's and may be written anew
+  std::string tail_;              // its records
+  std::uint64_t tail_digest_ = 0;
+  std::uint64_t before_ =
+      0;  // link to what stands before the newest, or before the next where that is closed
+  std::uint64_t tail_link_ = 0;
+  Rewriter rewriter_;
+};
+
+}  // namespace thistle
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,7 +18,7 @@
   std::string config;
   thistle::Tuning tuning;
   app.failure_message([](const CLI::App*, const CLI::Error& e) { return std::string(e.what()) + "\n"; });
-  app.set_version_flag("--version", std::string("thistlefront 0.1.0"));
+  app.set_version_flag("--version", std::string("thistlefront ") + thistle::rollout::kBuild);
   app.add_option("--config", config, "the platform's settings file (TOML)")->required()->type_name("FILE");
   app.add_option("--weight", tuning.weight, "weight of a second waited in the key")
       ->envname("THISTLEFRONT_WEIGHT")->check(CLI::Range(0.0, 1e6))->capture_default_str();
@@ -31,6 +31,14 @@
   app.add_option("--threads", tuning.threads, "threads that the process may have")
       ->envname("THISTLEFRONT_THREADS")->check(CLI::Range(thistle::Budget::kLeastThreads, std::size_t{1000000}))
       ->capture_default_str();
+  app.add_option("--state-level-most", tuning.state_level_most,
+                 "highest state level that this controller lets be switched on; a majority held below the one that is on "
+                 "lowers it")
+      ->envname("THISTLEFRONT_STATE_LEVEL_MOST")->check(CLI::Range(thistle::rollout::kLeastLevel, thistle::rollout::kMostLevel))
+      ->capture_default_str();
+  app.add_option("--state-level-soak", tuning.state_level_soak_s,
+                 "seconds for which all controllers must have had a state level before it is switched on")
+      ->envname("THISTLEFRONT_STATE_LEVEL_SOAK")->check(CLI::Range(0.0, 604800.0))->capture_default_str();
   app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
       ->envname("THISTLEFRONT_RENT")->capture_default_str();
   try {
--- /dev/null
+++ b/src/protocol/digest.cpp
@@ -0,0 +1,99 @@
+#include "protocol/digest.hpp"
+
+#include <array>
+#include <bit>
+#include <boost/crc.hpp>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "protocol/messages.hpp"
+
+namespace thistle {
+
+namespace {
+using Crc = boost::crc_optimal<64, 0x42F0E1EBA9EA3693, 0xFFFFFFFFFFFFFFFF, 0xFFFFFFFFFFFFFFFF, true, true>;
+constexpr double kExact = 9007199254740992.0;  // up to here a double tells every integer
+constexpr std::size_t kDigits = 16;
+
+void feed(Crc& crc, std::uint64_t word) {
+  std::array<unsigned char, 8> bytes{};
+  for (std::size_t i = 0; i < bytes.size(); ++i) bytes[i] = static_cast<unsigned char>(word >> (8 * i));
+  crc.process_bytes(bytes.data(), bytes.size());
+}
+
+void feed(Crc& crc, std::string_view text) {
+  feed(crc, std::uint64_t{text.size()});
+  crc.process_bytes(text.data(), text.size());
+}
+
+void feed(Crc& crc, const nlohmann::json& value) {
+  using Type = nlohmann::json::value_t;
+  switch (value.type()) {
+    case Type::array:
+      crc.process_byte('[');
+      for (const auto& v : value) feed(crc, v);
+      crc.process_byte(']');
+      return;
+    case Type::object:
+      crc.process_byte('{');
+      for (const auto& [name, v] : value.items()) {  // in the order of their names
+        feed(crc, std::string_view(name));
+        feed(crc, v);
+      }
+      crc.process_byte('}');
+      return;
+    case Type::string:
+      crc.process_byte('"');
+      feed(crc, std::string_view(value.get_ref<const std::string&>()));
+      return;
+    case Type::boolean:
+      crc.process_byte(value.get<bool>() ? 't' : 'f');
+      return;
+    case Type::number_unsigned:
+    case Type::number_integer:
+    case Type::number_float: {
+      const double number = value.get<double>();
+      const bool exact = value.is_number_float() || std::abs(number) <= kExact;
+      crc.process_byte(exact ? '1' : '#');
+      // Zero with and without its sign is the same number.
+      feed(crc,
+           exact ? std::bit_cast<std::uint64_t>(number == 0 ? 0.0 : number) : value.get<std::uint64_t>());
+      return;
+    }
+    default:
+      crc.process_byte('0');
+      return;
+  }
+}
+}  // namespace
+
+std::uint64_t digest_of(const nlohmann::json& value) {
+  Crc crc;
+  feed(crc, value);
+  return crc.checksum();
+}
+
+std::uint64_t digest_with(std::uint64_t before, std::uint64_t more) {
+  Crc crc;
+  feed(crc, before);
+  feed(crc, more);
+  return crc.checksum();
+}
+
+std::string digest_text(std::uint64_t digest) {
+  std::string out(kDigits, '0');
+  for (std::size_t i = 0; i < kDigits; ++i, digest >>= 4)
+    out[kDigits - 1 - i] = "0123456789abcdef"[digest & 15];
+  return out;
+}
+
+std::uint64_t parse_digest(std::string_view text) {
+  std::uint64_t out = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
+  if (text.size() != kDigits || error != std::errc{} || end != text.data() + text.size())
+    throw Malformed("not a digest: " + std::string(text.substr(0, kDigits)));
+  return out;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/protocol/digest.hpp
@@ -0,0 +1,21 @@
+// Checks of what is stored: CRC-64 (Boost.CRC, the parameters of XZ) over JSON as it means, not as it is
+// spelled, since a state service may give a value back in another spelling (4.0 for 4, members in another
+// order). It tells of bytes that changed and of entries that are missing or older; it is no defence against
+// somebody who means harm.
+#pragma once
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+
+namespace thistle {
+
+// Of one JSON value.
+std::uint64_t digest_of(const nlohmann::json& value);
+// Of a sequence, extended by one more.
+std::uint64_t digest_with(std::uint64_t before, std::uint64_t more);
+// 16 hexadecimal digits, and back; throws Malformed.
+std::string digest_text(std::uint64_t digest);
+std::uint64_t parse_digest(std::string_view text);
+
+}  // namespace thistle
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "protocol/digest.hpp"
+
 namespace thistle {
 
 using nlohmann::json;
@@ -589,6 +591,14 @@
 }  // namespace
 
 Row parse_row(std::string_view body) { return row_from(parse_object(body)); }
+Rows parse_rows(std::string_view body) {
+  const json j = parse_object(body);
+  Rows out;
+  out.truncated = flag_or(j, "truncated", false);
+  out.rev = count(j, "ledgerRev");
+  for (const auto& r : list(j, "rows")) out.rows.push_back(row_from(r));
+  return out;
+}
 std::string leader_value(const LeaderValue& leader) {
   return json{{"label", leader.label}, {"incarnation", leader.incarnation}}.dump();
 }
@@ -599,7 +609,7 @@
 
 // ---- ledger
 
-std::string encode_record(const Record& record) {
+EncodedRecord encode_record(const Record& record, std::uint32_t level) {
   struct Encode {
     static json accept(const AcceptRecord& r) { return {submission_json(r.job), r.draw, r.at}; }
     json operator()(const AcceptRecord& r) const { return {"accept", accept(r)}; }
@@ -628,11 +638,28 @@
     }
     json operator()(const EndedRecord& r) const { return {"ended", spell(r.status, kStatuses), r.uids}; }
   };
-  return std::visit(Encode{}, record).dump();
+  const json j = std::visit(Encode{}, record);
+  return {j.dump(), checked_at(level) ? digest_of(j) : 0};
+}
+
+std::uint64_t digest_with_record(std::uint64_t digest, const EncodedRecord& record) {
+  return digest_with(digest, record.digest);
+}
+std::uint64_t check_of(std::uint64_t seq, std::uint64_t generation, std::uint64_t records_digest) {
+  return digest_with(digest_with(records_digest, seq), generation);
+}
+std::uint64_t link_of(std::uint64_t before, std::uint64_t n, std::uint64_t check) {
+  return digest_with(digest_with(before, n), check);
 }
 
-std::string entry_value(std::uint64_t seq, std::string_view records) {
-  std::string out = "{\"seq\":" + std::to_string(seq) + ",\"records\":[";
+std::string entry_value(const EntryHead& head, std::string_view records, std::uint64_t records_digest) {
+  std::string out = "{";
+  if (checked_at(head.level)) {
+    out += "\"level\":" + std::to_string(head.level) + ",\"generation\":" + std::to_string(head.generation) + ",\"check\":\"" +
+           digest_text(check_of(head.seq, head.generation, records_digest)) + "\",\"before\":\"" +
+           digest_text(head.before) + "\",";
+  }
+  out += "\"seq\":" + std::to_string(head.seq) + ",\"records\":[";
   out.append(records);
   return out + "]}";
 }
@@ -643,6 +670,8 @@
 }
 Record record_from(const json& j) {
   const auto& kind = j.at(0).get_ref<const std::string&>();
+  // Named extras, at the end, are of a writer that knows more than this reader, and such that it may pass them over.
+  const std::size_t size = j.size() - (j.back().is_object() ? 1 : 0);
   if (kind == "accept") return accept_from(j.at(1));
   if (kind == "start") {
     StartRecord r{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), j.at(3).get<double>(), {}};
@@ -653,7 +682,7 @@
   if (kind == "done") return DoneRecord{j.at(1).get<std::string>(), parse_ranges(j.at(2))};
   if (kind == "off")
     return OffRecord{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), parse_ranges(j.at(3)),
-                     j.size() > 4 ? j.at(4).get<double>() : 0.0};
+                     size > 4 ? j.at(4).get<double>() : 0.0};
   if (kind == "cancel") return CancelRecord{j.at(1).get<std::string>()};
   if (kind == "flavors") {
     FlavorsRecord r;
@@ -669,11 +698,11 @@
     for (const auto& p : j.at(5))
       r.placed.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(),
                           p.at(2).get<std::uint64_t>(), p.at(3).get<double>(), parse_ranges(p.at(4))});
-    if (j.size() > 7) {
+    if (size > 7) {
       r.from = j.at(6).get<std::uint32_t>();
       r.more = j.at(7).get<bool>();
     }
-    if (j.size() > 8) r.suspect = j.at(8).get<bool>();
+    if (size > 8) r.suspect = j.at(8).get<bool>();
     return r;
   }
   if (kind == "ended")
@@ -683,14 +712,32 @@
 }  // namespace
 
 namespace {
+std::uint32_t level_of(const json& j) {
+  const json* level = member(j, "level");
+  return level ? static_cast<std::uint32_t>(std::min<std::uint64_t>(as_count(*level, "level"), UINT32_MAX)) : 1;
+}
 LedgerEntry entry_from(const json& j) {
+  std::size_t place = 0;
   try {
     LedgerEntry entry;
+    entry.level = level_of(j);
     entry.seq = count(j, "seq");
-    for (const auto& r : list(j, "records")) entry.records.push_back(record_from(r));
+    const auto& records = list(j, "records");
+    if (checked_at(entry.level)) {
+      entry.generation = count(j, "generation");
+      entry.before = parse_digest(text(j, "before"));
+      entry.check = parse_digest(text(j, "check"));
+      std::uint64_t digest = 0;
+      for (const auto& r : records) digest = digest_with(digest, digest_of(r));
+      if (check_of(entry.seq, entry.generation, digest) != entry.check) throw Malformed("its check is wrong: it was altered");
+    }
+    for (const auto& r : records) {
+      ++place;
+      entry.records.push_back(record_from(r));
+    }
     return entry;
-  } catch (const json::exception& e) {
-    throw Malformed(std::string("ledger entry: ") + e.what());
+  } catch (const std::exception& e) {
+    throw Malformed((place > 0 ? "record " + std::to_string(place) + ": " : "") + e.what());
   }
 }
 }  // namespace
@@ -707,6 +754,7 @@
     try {
       const json& value = need(r, "value");
       if (!value.is_object()) bad("value", "not an object");
+      row.entry.level = level_of(value);
       row.entry = entry_from(value);
     } catch (const Malformed& e) {
       row.unreadable = e.what();
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -87,17 +87,41 @@
   std::uint64_t stamp = 0;
 };
 Row parse_row(std::string_view body);
+struct Rows {
+  std::vector<Row> rows;
+  bool truncated = false;
+  std::uint64_t rev = 0;  // of the state service when it was looked at
+};
+Rows parse_rows(std::string_view body);
 std::string leader_value(const LeaderValue& leader);
 LeaderValue parse_leader(std::string_view value);
 
-// Ledger entries: {"seq":N,"by":E,"records":[...]}
-struct LedgerEntry {
-  std::uint64_t seq = 0;      // the commit that wrote this version of the entry
+// Ledger entries. Level 1: {"seq":N,"records":[...]}. From level 2 on:
+// {"level":2,"generation":G,"seq":N,"check":"…","before":"…","records":[...]}, where a record may end with an object of named
+// extras, which a reader that does not know them passes over.
+inline constexpr bool checked_at(std::uint32_t level) { return level > 1; }
+struct EntryHead {
+  std::uint32_t level = 1;
+  std::uint64_t generation = 0;
+  std::uint64_t seq = 0;     // the commit that wrote this version of the entry
+  std::uint64_t before = 0;  // link to the entries before it; 0: to none
+};
+struct LedgerEntry : EntryHead {
+  std::uint64_t check = 0;   // found to be right
   std::vector<Record> records;
 };
-std::string encode_record(const Record& record);
+struct EncodedRecord {
+  std::string text;
+  std::uint64_t digest = 0;  // where the level has checks
+};
+EncodedRecord encode_record(const Record& record, std::uint32_t level);
+// Of an entry's records, with one more.
+std::uint64_t digest_with_record(std::uint64_t digest, const EncodedRecord& record);
+std::uint64_t check_of(std::uint64_t seq, std::uint64_t generation, std::uint64_t records_digest);
+// To this entry and all before it.
+std::uint64_t link_of(std::uint64_t before, std::uint64_t n, std::uint64_t check);
 // `records` are encoded records joined by commas.
-std::string entry_value(std::uint64_t seq, std::string_view records);
+std::string entry_value(const EntryHead& head, std::string_view records, std::uint64_t records_digest);
 LedgerEntry parse_entry(std::string_view value);
 // A page of entries, parsed once: reading the ledger is most of what a takeover costs. An entry that can't be read
 // carries the reason.
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -118,6 +118,7 @@
   s.state = endpoints.address("state");
   const auto d = top.table("deployment");
   s.skew_ms = d.number_or("skew_ms", 0, 0, kDay * 1000);
+  s.count = static_cast<std::size_t>(d.number_or("count", 0, 0, 1e6));
   for (const auto& t : d.tables("teams")) {
     s.teams.push_back({t.text("name"),
                        {t.number_or("cpus", 0, 0, 1e9), t.number_or("gpus", 0, 0, 1e9), 0},
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -21,6 +21,7 @@
   };
   std::string label, site, client_listen, peer_listen;
   std::vector<Peer> peers;
+  std::size_t count = 0;  // controllers in all; 0: as many as are named
   std::string cloud, state;
   double skew_ms = 0;
   std::vector<Team> teams;
--- a/tests/blame_test.cpp
+++ b/tests/blame_test.cpp
@@ -113,13 +113,10 @@
   Book first = book_of_red(10), second = book_of_red(10), third = book_of_red(10);
   for (const auto& r : records) first.apply(r);
   ASSERT_TRUE(first.blame().suspect(first.find("j-1")));
-  std::string text;
-  for (const auto& r : records) text += (text.empty() ? "" : ",") + encode_record(r);
-  for (const auto& r : parse_entry(entry_value(1, text)).records) second.apply(r);
+  for (const auto& r : parse_entry(stored_entry(records)).records) second.apply(r);
   EXPECT_TRUE(second.blame().suspect(second.find("j-1")));
   std::uint32_t from = 0;
-  const auto anew = encode_record(first.job_record(first.find("j-1"), from, 100));
-  third.apply(parse_entry(entry_value(2, anew)).records.at(0));
+  third.apply(parse_entry(stored_entry({first.job_record(first.find("j-1"), from, 100)})).records.at(0));
   EXPECT_TRUE(third.blame().suspect(third.find("j-1")));
 }
 
--- a/tests/book_test.cpp
+++ b/tests/book_test.cpp
@@ -86,7 +86,7 @@
     for (std::size_t removed = 0; removed <= records.size(); ++removed) {
       Book b = fresh();
       for (std::size_t i = removed; i < records.size(); ++i) b.apply(records[i]);
-      for (const auto& r : anew) b.apply(parse_entry(entry_value(1, encode_record(r))).records.at(0));
+      for (const auto& r : anew) b.apply(parse_entry(stored_entry({r})).records.at(0));
       for (const char* uid : {"j-1", "j-2", "j-3"}) {
         ASSERT_TRUE(b.find(uid).valid()) << uid << " with " << removed << " removed";
         const Job& want = whole.job(whole.find(uid));
@@ -141,7 +141,7 @@
   b.apply(done);
   std::size_t records = 0;
   for (const auto& r : written_anew(b, 100)) {
-    EXPECT_LT(encode_record(r).size(), 5000u);
+    EXPECT_LT(encoded_size(r), 5000u);
     ++records;
   }
   EXPECT_GT(records, 20u);
--- /dev/null
+++ b/tests/cluster.hpp
@@ -0,0 +1,142 @@
+// Real controllers on loopback, with an in-memory state service, a cloud that has no machines, and users.
+#pragma once
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "coordination/controller.hpp"
+#include "protocol/messages.hpp"
+#include "state_service.hpp"
+
+namespace thistle::testing_ {
+
+inline constexpr const char* kFlavors =
+    R"({"hostKinds":[{"sku":"big","cores":8,"accelerators":0,"ramGb":32,"cacheGb":50,"fetchGbPerS":1,)"
+    R"("price":1,"marketPrice":0.5,"bootS":30,"yards":["x"]}]})";
+
+inline std::string job_body(const std::string& uid) {
+  return R"({"uid":")" + uid +
+         R"(","jobClass":"c","owner":"red","shape":"batch","rank":"standard","pieces":2,"cores":1,"accelerators":0,)"
+         R"("ramGb":1,"bundle":"i","pullGb":1,"hostKinds":null,"yard":null,"oneZone":false,"spread":false,)"
+         R"("loaners":false,"expectedS":10,"snapshotEveryS":0,"snapshotS":0,"dueS":null})";
+}
+
+class Cluster {
+ public:
+  // `tunings`: one for each controller, or one for all.
+  explicit Cluster(std::size_t n, unsigned seed = 1, const std::vector<Tuning>& tunings = {Tuning{}})
+      : state(n, seed),
+        cloud_address_(free_address()),
+        cloud_(cloud_address_, 20, [](const HttpCall& c) -> HttpReply {
+          if (c.target == kFlavorsPath) return {200, kFlavors};
+          if (c.method == "GET") return {200, R"({"hosts":[],"truncated":false})"};
+          return {503, R"({"error":"no capacity"})"};
+        }) {
+    spdlog::set_level(spdlog::level::err);
+    auto& all = settings_;
+    all.resize(n);
+    for (std::size_t i = 0; i < n; ++i) {
+      Settings& s = all[i];
+      s.label = "host-" + std::to_string(i);
+      s.client_listen = free_address();
+      s.peer_listen = free_address();
+      s.state = state.door(i).address;
+      s.cloud = cloud_address_;
+      s.teams = {{"red", {}, {}}};
+      s.report_s = 1, s.lease_s = 5, s.gang_wait_s = 20, s.gang_peer_s = 3, s.cancel_s = 20;
+      s.state_rps = 1000, s.state_write_rps = 200, s.value_kb = 8, s.txn_ops = 16;
+      s.cloud_rps = 10, s.list_lag_s = 1, s.max_sockets = 400;
+    }
+    for (std::size_t i = 0; i < n; ++i) {
+      for (std::size_t k = 0; k < n; ++k)
+        if (k != i) all[i].peers.push_back({all[k].label, "x", all[k].peer_listen});
+      users.push_back(all[i].client_listen);
+    }
+    nodes_.resize(n);
+    for (std::size_t i = 0; i < n; ++i) start(i, tunings[std::min(i, tunings.size() - 1)]);
+  }
+  ~Cluster() {
+    for (std::size_t i = 0; i < users.size(); ++i) {
+      auto& d = state.door(i);
+      d.refuses = d.frozen = false;
+      d.loses = d.late = d.repeats = 0;
+    }
+    for (auto& node : nodes_) node.thread.request_stop();
+  }
+  // A controller begins anew, with other flags or as another build.
+  void start(std::size_t i, const Tuning& tuning) {
+    stop(i);
+    nodes_[i].controller = std::make_unique<Controller>(settings_[i], tuning);
+    nodes_[i].thread = std::jthread([c = nodes_[i].controller.get()](std::stop_token st) { c->run(st); });
+  }
+  void stop(std::size_t i) {
+    nodes_[i].thread = {};
+    nodes_[i].controller.reset();
+  }
+  // A line of a controller's metrics; empty when it is not there.
+  std::string metric(std::size_t node, const std::string& name) const {
+    const auto text = "\n" + ask(node, "GET", "/metrics").body;
+    const auto at = text.find("\nthistlefront_" + name);
+    return at == std::string::npos ? "" : text.substr(at + 1, text.find('\n', at + 1) - at - 1);
+  }
+  std::string level() { return state.value(kLevelKey); }
+
+  HttpResult ask(std::size_t node, const std::string& method, const std::string& path,
+                 const std::string& body = "") const {
+    HttpClient client(users[node]);
+    return client.call(method, path, body, 5);
+  }
+  HttpResult submit(std::size_t node, const std::string& uid) const {
+    return ask(node, "POST", "/v1/jobs", job_body(uid));
+  }
+  // Until some controller accepts it; false when none did in time.
+  bool submit_until(const std::string& uid, double within_s) const {
+    for (const double until = steady_now() + within_s; steady_now() < until;) {
+      for (std::size_t i = 0; i < users.size(); ++i) {
+        const auto r = submit(i, uid);
+        if (r.is(201) || r.is(200)) return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+  }
+  std::size_t leader() {
+    for (const double until = steady_now() + 20; steady_now() < until;) {
+      const auto label = state.leader();
+      for (std::size_t i = 0; i < users.size(); ++i)
+        if (label == "host-" + std::to_string(i)) return i;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    ADD_FAILURE() << "no leader";
+    return 0;
+  }
+  bool eventually(double within_s, const std::function<bool()>& holds) const {
+    for (const double until = steady_now() + within_s; steady_now() < until;) {
+      if (holds()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+    return false;
+  }
+  // Every accepted job stands in the ledger, once as an acceptance or as written anew.
+  std::map<std::string, int> accepted_in_ledger() {
+    std::map<std::string, int> out;
+    for (const auto& [key, value] : state.entries())
+      for (const auto& r : parse_entry(value).records)
+        if (const auto* a = std::get_if<AcceptRecord>(&r)) ++out[a->job.uid];
+    return out;
+  }
+
+  StateService state;
+  std::vector<std::string> users;
+
+ private:
+  std::string cloud_address_;
+  HttpServer cloud_;
+  struct Node {
+    std::unique_ptr<Controller> controller;
+    std::jthread thread;
+  };
+  std::vector<Settings> settings_;
+  std::vector<Node> nodes_;
+};
+
+}  // namespace thistle::testing_
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -195,7 +195,7 @@
   }
   std::size_t found = 0;
   for (const auto& s : in_fitting_records(r)) {
-    EXPECT_LT(encode_record(s).size(), 4000u);
+    EXPECT_LT(encoded_size(s), 4000u);
     EXPECT_EQ(s.attempt, 3u);
     for (const auto& p : s.parts)
       for (const auto& range : p.tasks) found += range.last - range.first;
@@ -210,7 +210,7 @@
   ASSERT_EQ(book.job(book.find("j-1")).placed.size(), 2000u);
   std::size_t off = 0;
   for (const auto& end : clear_host(book, book.find_host("m-1"))) {
-    EXPECT_LT(encode_record(end).size(), 4000u);
+    EXPECT_LT(encoded_size(end), 4000u);
     for (const auto& range : std::get<OffRecord>(end).tasks) off += range.last - range.first;
   }
   EXPECT_EQ(off, 2000u);
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -1,125 +1,18 @@
 // Leadership and the ledger's writer: real controllers on loopback against an in-memory state service that refuses,
 // loses, delays and repeats. What users were told must hold for ever after, whoever leads.
 #include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
 
 #include <set>
 
+#include "cluster.hpp"
 #include "coordination/budget.hpp"
-#include "coordination/controller.hpp"
 #include "protocol/messages.hpp"
-#include "state_service.hpp"
 
 namespace thistle {
 namespace {
 
+using testing_::Cluster;
 using testing_::free_address;
-using testing_::StateService;
-
-constexpr const char* kFlavors =
-    R"({"hostKinds":[{"sku":"big","cores":8,"accelerators":0,"ramGb":32,"cacheGb":50,"fetchGbPerS":1,)"
-    R"("price":1,"marketPrice":0.5,"bootS":30,"yards":["x"]}]})";
-
-std::string job_body(const std::string& uid) {
-  return R"({"uid":")" + uid +
-         R"(","jobClass":"c","owner":"red","shape":"batch","rank":"standard","pieces":2,"cores":1,"accelerators":0,)"
-         R"("ramGb":1,"bundle":"i","pullGb":1,"hostKinds":null,"yard":null,"oneZone":false,"spread":false,)"
-         R"("loaners":false,"expectedS":10,"snapshotEveryS":0,"snapshotS":0,"dueS":null})";
-}
-
-class Cluster {
- public:
-  explicit Cluster(std::size_t n, unsigned seed = 1, Tuning tuning = {})
-      : state(n, seed), cloud_address_(free_address()),
-        cloud_(cloud_address_, 20, [](const HttpCall& c) -> HttpReply {
-          if (c.target == kFlavorsPath) return {200, kFlavors};
-          if (c.method == "GET") return {200, R"({"hosts":[],"truncated":false})"};
-          return {503, R"({"error":"no capacity"})"};
-        }) {
-    spdlog::set_level(spdlog::level::err);
-    std::vector<Settings> all(n);
-    for (std::size_t i = 0; i < n; ++i) {
-      Settings& s = all[i];
-      s.label = "host-" + std::to_string(i);
-      s.client_listen = free_address();
-      s.peer_listen = free_address();
-      s.state = state.door(i).address;
-      s.cloud = cloud_address_;
-      s.teams = {{"red", {}, {}}};
-      s.report_s = 1, s.lease_s = 5, s.gang_wait_s = 20, s.gang_peer_s = 3, s.cancel_s = 20;
-      s.state_rps = 1000, s.state_write_rps = 200, s.value_kb = 8, s.txn_ops = 16;
-      s.cloud_rps = 10, s.list_lag_s = 1, s.max_sockets = 400;
-    }
-    for (std::size_t i = 0; i < n; ++i) {
-      for (std::size_t k = 0; k < n; ++k)
-        if (k != i) all[i].peers.push_back({all[k].label, "x", all[k].peer_listen});
-      users.push_back(all[i].client_listen);
-    }
-    for (auto& s : all) {
-      controllers_.push_back(std::make_unique<Controller>(s, tuning));
-      threads_.emplace_back([c = controllers_.back().get()](std::stop_token stop) { c->run(stop); });
-    }
-  }
-  ~Cluster() {
-    for (std::size_t i = 0; i < users.size(); ++i) {
-      auto& d = state.door(i);
-      d.refuses = d.frozen = false;
-      d.loses = d.late = d.repeats = 0;
-    }
-    for (auto& t : threads_) t.request_stop();
-  }
-
-  HttpResult ask(std::size_t node, const std::string& method, const std::string& path, const std::string& body = "") const {
-    HttpClient client(users[node]);
-    return client.call(method, path, body, 5);
-  }
-  HttpResult submit(std::size_t node, const std::string& uid) const { return ask(node, "POST", "/v1/jobs", job_body(uid)); }
-  // Until some controller accepts it; false when none did in time.
-  bool submit_until(const std::string& uid, double within_s) const {
-    for (const double until = steady_now() + within_s; steady_now() < until;) {
-      for (std::size_t i = 0; i < users.size(); ++i) {
-        const auto r = submit(i, uid);
-        if (r.is(201) || r.is(200)) return true;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
-  }
-  std::size_t leader() {
-    for (const double until = steady_now() + 20; steady_now() < until;) {
-      const auto label = state.leader();
-      for (std::size_t i = 0; i < users.size(); ++i)
-        if (label == "host-" + std::to_string(i)) return i;
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
-    ADD_FAILURE() << "no leader";
-    return 0;
-  }
-  bool eventually(double within_s, const std::function<bool()>& holds) const {
-    for (const double until = steady_now() + within_s; steady_now() < until;) {
-      if (holds()) return true;
-      std::this_thread::sleep_for(std::chrono::milliseconds(30));
-    }
-    return false;
-  }
-  // Every accepted job stands in the ledger, once as an acceptance or as written anew.
-  std::map<std::string, int> accepted_in_ledger() {
-    std::map<std::string, int> out;
-    for (const auto& [key, value] : state.entries())
-      for (const auto& r : parse_entry(value).records)
-        if (const auto* a = std::get_if<AcceptRecord>(&r)) ++out[a->job.uid];
-    return out;
-  }
-
-  StateService state;
-  std::vector<std::string> users;
-
- private:
-  std::string cloud_address_;
-  HttpServer cloud_;
-  std::vector<std::unique_ptr<Controller>> controllers_;
-  std::vector<std::jthread> threads_;
-};
 
 TEST(Leadership, OneThatTheStateServiceAloneRefusesHandsOverAndFollows) {
   Cluster c(3);
@@ -350,8 +243,9 @@
 TEST(Leadership, ConnectionsPastTheBudgetCostNeitherTheLeadNorTheUsers) {
   Tuning few;
   few.threads = Budget::kLeastThreads;
-  Cluster c(1, 1, few);
+  Cluster c(1, 1, {few});
   ASSERT_TRUE(c.submit_until("j-0", 20));
+  const auto epoch = std::to_string(c.state.epoch());
   std::vector<Socket> idle;
   for (int i = 1; i <= 150; ++i) {
     idle.push_back(connect_to(c.users[0], 2));
@@ -360,7 +254,7 @@
   }
   EXPECT_EQ(c.state.leader(), "host-0");
   const auto metrics = c.ask(0, "GET", "/metrics").body;
-  EXPECT_NE(metrics.find("thistlefront_epoch 1\n"), std::string::npos) << "it never stopped leading";
+  EXPECT_NE(metrics.find("thistlefront_epoch " + epoch + "\n"), std::string::npos) << "it never stopped leading";
   const auto at = metrics.find("thistlefront_client_connections ");
   ASSERT_NE(at, std::string::npos);
   EXPECT_LE(std::stoul(metrics.substr(at + 32)), split_budget(few.threads, 400, 0).clients + Budget::kOver);
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -1,4 +1,5 @@
 // Messages: what is taken, what is refused and by which field's name, and round trips.
+#include "jobs.hpp"
 #include "protocol/messages.hpp"
 
 #include "coordination/histograms.hpp"
@@ -99,10 +100,9 @@
 
 TEST(Ledger, RecordsComeBackAsTheyWere) {
   const auto s = parse_submission(good().dump());
-  const std::string text = encode_record(AcceptRecord{s, 0.25, 12.5}) + "," +
-                           encode_record(StartRecord{"j-000412", 3, 9.5, {{"m-1", 2, {{0, 4}, {6, 7}}}}}) + "," +
-                           encode_record(DoneRecord{"j-000412", {{0, 1}}});
-  const auto entry = parse_entry(entry_value(7, text));
+  const std::vector<Record> records{AcceptRecord{s, 0.25, 12.5}, StartRecord{"j-000412", 3, 9.5, {{"m-1", 2, {{0, 4}, {6, 7}}}}},
+                                    DoneRecord{"j-000412", {{0, 1}}}};
+  const auto entry = parse_entry(stored_entry(records, {1, 0, 7, 0}));
   EXPECT_EQ(entry.seq, 7u);
   const auto& accept = std::get<AcceptRecord>(entry.records.at(0));
   EXPECT_EQ(accept.job.uid, s.uid);
--- a/tests/rewriter_test.cpp
+++ b/tests/rewriter_test.cpp
@@ -1,10 +1,11 @@
 // The ledger kept short: days of random work, committed entry by entry as the ledger's writer does; after each commit
 // what is left of the ledger is read anew, as by a new leader, and must give the same jobs.
-#include "bookkeeping/rewriter.hpp"
+#include "ledger/reader.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <random>
 
@@ -38,53 +39,57 @@
 
 class Ledger {
  public:
-  // One commit as the writer makes it: what is written anew first, joined as it does, then the new records.
-  void commit(Book& book, std::vector<Record> records, std::mt19937& random) {
-    auto items = rewriter.next(book, first, next, kEntryBytes);
-    std::stable_partition(items.begin(), items.end(),
-                          [](const auto& i) { return std::holds_alternative<EndedRecord>(i.record); });
-    // At times not all of it fits.
-    std::size_t fit = items.size();
-    if (!items.empty() && random() % 8 == 0) fit = random() % items.size();
-    std::vector<std::uint64_t> where;
-    for (std::size_t i = 0; i < fit; ++i) where.push_back(put(items[i].record));
-    std::vector<std::uint64_t> record_in;
-    for (const auto& r : records) record_in.push_back(put(r));
-    const auto needed = std::min(rewriter.oldest_needed(next), next - 1);
-    for (int n = 0; n < 2 && first < needed; ++n) entries.erase(first++);
-    rewriter.written(items, where);
-    for (std::size_t i = 0; i < records.size(); ++i) {
-      const auto known = book.job_count();
-      book.apply(records[i]);
-      if (book.job_count() > known) rewriter.begins(record_in[i], JobIdx{static_cast<std::uint32_t>(known)});
-    }
+  // One commit, as the ledger's writer makes it.
+  void commit(Book& book, const std::vector<Record>& records) {
+    std::deque<Pending> queue;
+    for (const auto& r : records) queue.push_back({r, 0});
+    do {
+      const auto draft = tail.draft(book, queue, kLimits);
+      ASSERT_TRUE(draft.too_large.empty()) << draft.too_large.front();
+      ++stamp_;
+      for (const auto& c : draft.conditions) ASSERT_EQ(c.stamp, entries.contains(c.key) ? stamps_[c.key] : 0) << c.key;
+      for (const auto& p : draft.puts) {
+        entries[p.key] = p.value;
+        stamps_[p.key] = stamp_;
+        ASSERT_LT(p.value.size(), kLimits.value_bytes + 8) << p.key;
+      }
+      for (const auto& k : draft.removes) ASSERT_EQ(entries.erase(k), 1u) << k;
+      removed += draft.removes.size();
+      tail.written(draft, stamp_);
+      for (std::size_t i = 0; i < draft.batch.size(); ++i) {
+        const auto known = book.job_count();
+        book.apply(draft.batch[i].record);
+        if (book.job_count() > known) tail.begins(draft.batch_in[i], JobIdx{static_cast<std::uint32_t>(known)});
+      }
+    } while (!queue.empty());
   }
-  // As a new leader reads it.
-  Book read(Rewriter& found) const {
+  // As a new leader reads it, which then writes at this level.
+  Book read(Tail& found, std::uint32_t level) const {
     Book book = fresh();
-    std::size_t known = 0;
-    for (const auto& [n, records] : entries) {
-      for (const auto& r : records) book.apply(r);
-      for (; known < book.job_count(); ++known) found.begins(n, JobIdx{static_cast<std::uint32_t>(known)});
-    }
+    Reader reader(book, 1, 2);
+    for (const auto& [key, value] : entries) EXPECT_TRUE(reader.take(row(key, value))) << reader.why();
+    found = Tail(std::move(reader).found(), level);
     return book;
   }
+  static EntryPage::Row row(const std::string& key, const std::string& value) {
+    const auto page = parse_entries(R"({"rows":[{"path":")" + key + R"(","value":)" + value + "}]}");
+    return page.rows.at(0);
+  }
 
-  Rewriter rewriter;
-  std::uint64_t first = 0, next = 0;
-  std::map<std::uint64_t, std::vector<Record>> entries;
+  Tail tail;
+  std::map<std::string, std::string> entries;
+  std::size_t removed = 0;
 
  private:
-  static constexpr std::size_t kEntryBytes = 6000, kRecordsAnEntry = 2;
-  std::uint64_t put(const Record& r) {
-    if (next == 0 || entries[next - 1].size() >= kRecordsAnEntry) ++next;
-    entries[next - 1].push_back(r);
-    return next - 1;
-  }
+  static constexpr Tail::Limits kLimits{8000, 4, 8};
+  std::map<std::string, std::uint64_t> stamps_;
+  std::uint64_t stamp_ = 0;
 };
 
+// The level is raised and lowered at any moment, by the leader that writes and between two leaders; entries of both stand in
+// one ledger, and each level is at times the only one left.
 TEST(Rewriter, WhateverIsLeftOfTheLedgerGivesTheSameBook) {
-  std::size_t removed = 0;
+  std::size_t removed = 0, switches = 0, all_anew = 0;
   for (unsigned seed = 1; seed <= 4; ++seed) {
     std::mt19937 random(seed);
     Book book = fresh();
@@ -96,7 +101,7 @@
       if (!j.valid() || book.live().size() < 12) {
         // Some with more ranges than one record takes.
         records.emplace_back(AcceptRecord{
-            submission("j-" + std::to_string(1000 + step), some(2) == 0 ? 700 : 1 + some(8)), 0.5, 1.0 * step});
+            submission("j-" + std::to_string(1000 + step), some(2) == 0 ? 500 : 1 + some(8)), 0.5, 1.0 * step});
       } else {
         const Job& job = book.job(j);
         StartRecord start{job.uid, job.attempts + 1, 1.0 * step, {}};
@@ -121,19 +126,45 @@
         for (auto& [attempt, o] : off) records.emplace_back(o);
         if (records.empty() || some(60) == 0) records.emplace_back(CancelRecord{job.uid});
       }
-      ledger.commit(book, records, random);
-      Rewriter found;
-      expect_same(ledger.read(found), book, seed);
+      ledger.commit(book, records);
       if (testing::Test::HasFatalFailure()) return;
-      // A new leader goes on with what it found.
-      if (some(40) == 0) {
-        ledger.rewriter = Rewriter{};
-        book = ledger.read(ledger.rewriter);
+      if (some(3) == 0) {
+        Tail found;
+        expect_same(ledger.read(found, ledger.tail.level()), book, seed);
+        if (testing::Test::HasFailure()) return;
+        ASSERT_EQ(found.old_entries(), ledger.tail.old_entries()) << "seed " << seed;
+      }
+      std::uint32_t level = ledger.tail.level();
+      if (seed > 2 && some(60) == 0) {
+        if (!ledger.tail.old_entries()) ++all_anew;
+        level = 3 - level;
+        ++switches;
+        if (some(2) == 0) ledger.tail.write_at(level);
       }
+      // A new leader goes on with what it found.
+      if (some(40) == 0) book = ledger.read(ledger.tail, level);
     }
-    removed += ledger.first;
+    removed += ledger.removed;
   }
   EXPECT_GT(removed, 200u);  // it was shortened all along
+  EXPECT_GT(switches, 10u);
+  EXPECT_GT(all_anew, 3u);
+}
+
+// Nothing is asked of it but to write the old entries anew: it comes to an end, and one entry stays.
+TEST(Rewriter, EntriesOfAnotherLevelAreGoneAfterAFewWritesOfTheirOwn) {
+  Book book = fresh();
+  Ledger ledger;
+  for (int i = 0; i < 200; ++i) ledger.commit(book, {AcceptRecord{submission("j-" + std::to_string(i), 3), 0.5, 1.0 * i}});
+  ASSERT_FALSE(ledger.tail.old_entries());
+  const auto entries = ledger.entries.size();
+  ledger.tail.write_at(2);
+  std::size_t writes = 0;
+  for (; ledger.tail.old_entries() && writes < 1000; ++writes) ledger.commit(book, {});
+  EXPECT_LT(writes, 20 * entries);
+  for (const auto& [key, value] : ledger.entries) EXPECT_NE(value.find("\"level\":2"), std::string::npos) << key;
+  Tail found;
+  expect_same(ledger.read(found, 2), book, 0);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/rollout_test.cpp
@@ -0,0 +1,239 @@
+// Roll-outs on real controllers: mixed builds, a level switched on and lowered again, and a ledger that
+// nobody, or only some, can read. An older build that knows of levels is played by `state_level_reads`.
+#include <gtest/gtest.h>
+
+#include "cluster.hpp"
+
+namespace thistle {
+namespace {
+
+using testing_::Cluster;
+
+Tuning soaking(double seconds) {
+  Tuning t;
+  t.state_level_soak_s = seconds;
+  return t;
+}
+Tuning older() {
+  Tuning t = soaking(0);
+  t.state_level_reads = 1;
+  return t;
+}
+Tuning held_at(std::uint32_t level) {
+  Tuning t = soaking(0);
+  t.state_level_most = level;
+  return t;
+}
+
+constexpr const char* kTwo = R"({"level":2})";
+
+void expect_all_known(Cluster& c, const std::vector<std::string>& uids) {
+  for (const auto& uid : uids)
+    for (std::size_t i = 0; i < c.users.size(); ++i)
+      EXPECT_TRUE(c.eventually(15, [&] { return c.ask(i, "GET", "/v1/jobs/" + uid).is(200); }))
+          << uid << " at " << i;
+}
+
+bool all_entries_of(Cluster& c, bool level_two) {
+  const auto entries = c.state.entries();
+  return !entries.empty() && std::all_of(entries.begin(), entries.end(), [&](const auto& e) {
+    return (e.second.find("\"level\":2") != std::string::npos) == level_two;
+  });
+}
+
+TEST(Rollout, OneThatLacksTheLevelHoldsItBackAndTheLastOneSwitchesItOn) {
+  Cluster c(3, 1, {soaking(0), soaking(0), older()});
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  // The older build may lead and be followed, and says what it has.
+  ASSERT_TRUE(c.eventually(20, [&] { return !c.state.value("roster/host-2").empty(); }));
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(c.level(), "");
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  }
+  EXPECT_TRUE(all_entries_of(c, false)) << "what an older build reads, as long as there is one";
+  c.start(2, soaking(0));
+  ASSERT_TRUE(c.eventually(30, [&] { return c.level() == kTwo; }));
+  EXPECT_NE(c.state.value("leader").find("(state level 2)"), std::string::npos)
+      << "kept by nobody, for builds from before levels";
+  ASSERT_TRUE(c.submit_until("j-2", 20));
+  EXPECT_TRUE(c.eventually(20, [&] { return all_entries_of(c, true); })) << "old entries are written anew";
+  expect_all_known(c, {"j-1", "j-2"});
+  // And a leader's end changes nothing of it.
+  c.state.end_holds();
+  ASSERT_TRUE(c.submit_until("j-3", 20));
+  expect_all_known(c, {"j-1", "j-2", "j-3"});
+  EXPECT_EQ(c.state.unfenced(), 0u);
+}
+
+// Down for the whole roll-out: a controller counts with what it last had, and one never seen as of an old
+// build.
+TEST(Rollout, AControllerThatIsDownOrWasNeverSeenIsWaitedFor) {
+  Cluster c(3, 1, {soaking(0), soaking(0), older()});
+  ASSERT_TRUE(c.eventually(20, [&] { return !c.state.value("roster/host-2").empty(); }));
+  c.stop(2);
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  EXPECT_TRUE(c.eventually(20, [&] {
+    return c.metric(c.leader(), "state_level_waits_for").find("host-2 (build ") != std::string::npos;
+  }));
+  c.state.remove("roster/host-2");
+  EXPECT_TRUE(c.eventually(20, [&] {
+    return c.metric(c.leader(), "state_level_waits_for").find("host-2 (never seen)") != std::string::npos;
+  }));
+  EXPECT_EQ(c.level(), "");
+}
+
+TEST(Rollout, AfterTheSwitchAnOlderBuildFollowsAndNeverLeads) {
+  Cluster c(2, 1, {soaking(0)});
+  ASSERT_TRUE(c.eventually(30, [&] { return c.level() == kTwo; }));
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  c.start(1, older());
+  expect_all_known(c, {"j-1"});
+  EXPECT_TRUE(c.eventually(20, [&] { return c.submit(1, "j-2").is(201) || c.submit(1, "j-2").is(200); }))
+      << "it forwards";
+  c.stop(0);
+  const auto until = steady_now() + 4;
+  while (steady_now() < until) {
+    EXPECT_NE(c.state.leader(), "host-1");
+    EXPECT_FALSE(c.ask(1, "GET", "/v1/jobs/j-1").is(404));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  c.start(0, soaking(0));
+  expect_all_known(c, {"j-1", "j-2"});
+}
+
+TEST(Rollout, AMajorityHeldBelowLowersTheLevelAndOlderBuildsLeadAgain) {
+  Cluster c(3, 1, {soaking(0)});
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  ASSERT_TRUE(c.eventually(30, [&] { return c.level() == kTwo; }));
+  ASSERT_TRUE(c.submit_until("j-2", 20));
+  c.start(0, held_at(1));
+  ASSERT_TRUE(c.submit_until("j-3", 20));
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  EXPECT_EQ(c.level(), kTwo) << "one flag that was forgotten lowers nothing";
+  c.start(1, held_at(1));
+  ASSERT_TRUE(c.eventually(40, [&] { return c.level() == R"({"level":1})"; }));
+  EXPECT_TRUE(all_entries_of(c, false)) << "before it is on";
+  EXPECT_EQ(c.state.value("lead"), "");
+  for (std::size_t i = 0; i < 3; ++i) c.start(i, older());
+  ASSERT_TRUE(c.submit_until("j-4", 20));
+  expect_all_known(c, {"j-1", "j-2", "j-3", "j-4"});
+  EXPECT_EQ(c.state.unfenced(), 0u);
+}
+
+// Leaders that end, transactions that are late, lost and repeated, and controllers that begin anew, around
+// the switch.
+TEST(Rollout, SwitchingOnSurvivesTroubleInEachOfItsSteps) {
+  for (unsigned seed = 1; seed <= 2; ++seed) {
+    Cluster c(3, seed, {soaking(1)});
+    std::mt19937 random(seed);
+    std::vector<std::string> told;
+    for (const double until = steady_now() + 5; steady_now() < until;) {
+      const auto node = random() % 3;
+      auto& d = c.state.door(node);
+      switch (random() % 6) {
+        case 0:
+          d.refuses = !d.refuses;
+          break;
+        case 1:
+          d.loses = d.loses > 0 ? 0 : 0.4;
+          break;
+        case 2:
+          d.late = d.late > 0 ? 0 : 0.3;
+          break;
+        case 3:
+          d.repeats = d.repeats > 0 ? 0 : 0.4;
+          break;
+        case 4:
+          c.state.end_holds();
+          break;
+        default:
+          c.start(node, random() % 2 == 0 ? soaking(1) : older());
+      }
+      const std::string uid = "j-" + std::to_string(1000 * seed + told.size());
+      if (const auto r = c.submit(random() % 3, uid); r.is(201) || r.is(200)) told.push_back(uid);
+      // An older build may have had to stand by: then nobody leads for a while.
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+      auto& d = c.state.door(i);
+      d.refuses = false;
+      d.loses = d.late = d.repeats = 0;
+      c.start(i, soaking(0));
+    }
+    ASSERT_TRUE(c.eventually(40, [&] { return c.level() == kTwo; })) << "seed " << seed;
+    ASSERT_TRUE(c.submit_until("j-9", 30)) << "seed " << seed;
+    EXPECT_FALSE(told.empty());
+    expect_all_known(c, told);
+    EXPECT_EQ(c.state.unfenced(), 0u) << "seed " << seed;
+  }
+}
+
+std::string beyond(const std::string& entry) {
+  auto j = nlohmann::json::parse(entry);
+  j["records"].push_back({"from-the-future", 1});
+  return j.dump();
+}
+
+// One newer controller led for a moment: those that can't read its entry held the lead in turn, and nobody
+// served.
+TEST(Rollout, OneThatCantReadTheLedgerGivesTheLeadToOneThatCan) {
+  Cluster c(2, 1, {older(), held_at(1)});
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  const auto entries = c.state.entries();
+  auto j = nlohmann::json::parse(entries.begin()->second);
+  // Of level 2, though level 1 is on: only the newer build reads it.
+  const auto entry = parse_entry(entries.begin()->second);
+  c.stop(0);
+  c.stop(1);
+  std::string text;
+  std::uint64_t digest = 0;
+  for (const auto& r : entry.records) {
+    const auto encoded = encode_record(r, 2);
+    text += (text.empty() ? "" : ",") + encoded.text;
+    digest = digest_with_record(digest, encoded);
+  }
+  c.state.put(entries.begin()->first, entry_value({2, 0, entry.seq, 0}, text, digest));
+  c.start(0, older());
+  c.start(1, held_at(1));
+  ASSERT_TRUE(c.submit_until("j-2", 15));
+  EXPECT_EQ(c.state.leader(), "host-1");
+  expect_all_known(c, {"j-1", "j-2"});
+}
+
+TEST(Rollout, WhereNobodyCanReadTheLedgerItIsAnOutageAndLeasesAreKept) {
+  Cluster c(3);
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  const auto entry = *c.state.entries().begin();
+  for (std::size_t i = 0; i < 3; ++i) c.stop(i);
+  c.state.put(entry.first, beyond(entry.second));
+  for (std::size_t i = 0; i < 3; ++i) c.start(i, Tuning{});
+  std::uint64_t serial = 0;
+  std::size_t kept = 0;
+  std::set<std::string> leaders;
+  for (const double until = steady_now() + 12; steady_now() < until;) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      const auto poll = c.ask(i, "GET", "/v1/jobs/j-1");
+      EXPECT_FALSE(poll.is(404) || poll.is(200)) << poll.body;
+      EXPECT_FALSE(c.submit(i, "j-2").is(201));
+      const std::string report =
+          R"({"host":"m-1","address":"127.0.0.1:1","hostKind":"big","yard":"x","loaners":false,)"
+          R"("tenure":1,"serial":)" +
+          std::to_string(++serial) + R"(,"epoch":0,"recallS":null,"pieces":[]})";
+      const auto answer = c.ask(i, "POST", "/v1/report", report);
+      if (!answer.is(200)) continue;
+      ++kept;
+      EXPECT_NE(answer.body.find("\"orders\":[]"), std::string::npos) << answer.body;
+    }
+    leaders.insert(c.state.leader());
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  leaders.erase("");
+  EXPECT_GT(leaders.size(), 1u) << "each has its try";
+  EXPECT_GT(kept, 10u);
+  // Mended, it goes on without anyone.
+  c.state.put(entry.first, entry.second);
+  EXPECT_TRUE(c.submit_until("j-2", 30));
+  expect_all_known(c, {"j-1", "j-2"});
+}
+
+}  // namespace
+}  // namespace thistle
--- a/tests/state_service.hpp
+++ b/tests/state_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <list>
@@ -80,12 +81,12 @@
   }
   std::string leader() {
     std::lock_guard lock(mutex_);
-    auto it = keys_.find("leader");
+    auto it = keys_.find(lead());
     return it == keys_.end() ? "" : it->second.value.at("label").get<std::string>();
   }
   std::uint64_t epoch() {
     std::lock_guard lock(mutex_);
-    auto it = keys_.find("leader");
+    auto it = keys_.find(lead());
     return it == keys_.end() ? 0 : it->second.stamp;
   }
   std::map<std::string, std::string> entries() {
@@ -95,6 +96,28 @@
       if (k.starts_with("ledger/")) out[k] = v.value.dump();
     return out;
   }
+  std::string value(const std::string& key) {
+    std::lock_guard lock(mutex_);
+    const auto it = keys_.find(key);
+    return it == keys_.end() ? "" : it->second.value.dump();
+  }
+  void put(const std::string& key, const std::string& value) {
+    std::lock_guard lock(mutex_);
+    keys_[key] = {json::parse(value), ++rev_, 0};
+    changes_[key] = rev_;
+    changed_.notify_all();
+  }
+  void remove(const std::string& key) {
+    std::lock_guard lock(mutex_);
+    keys_.erase(key);
+    changes_[key] = ++rev_;
+    changed_.notify_all();
+  }
+  // The key that the leader holds: another one from state level 2 on.
+  std::string lead() const {
+    const auto it = keys_.find("lead-level");
+    return it != keys_.end() && it->second.value.at("level") > 1 ? "lead" : "leader";
+  }
   // Writes to the ledger that were applied under another epoch than the leader key's. None is ever allowed.
   std::size_t unfenced() const { return unfenced_; }
   std::size_t late_ones() const { return late_ones_; }
@@ -121,7 +144,7 @@
       }
       for (auto k = keys_.begin(); k != keys_.end();) {
         const bool goes = k->second.hold == it->first;
-        if (goes) ++rev_;
+        if (goes) changes_[k->first] = ++rev_;
         k = goes ? keys_.erase(k) : std::next(k);
       }
       it = holds_.erase(it);
@@ -145,7 +168,7 @@
       const auto path = c.at("path").get<std::string>();
       const auto it = keys_.find(path);
       const auto stamp = c.at("stamp").get<std::uint64_t>();
-      if (path == "leader") conditioned = stamp;
+      if (path == lead()) conditioned = stamp;
       if ((it == keys_.end() ? 0 : it->second.stamp) != stamp) failed.push_back(path);
     }
     if (!failed.empty()) return {409, json{{"failed", failed}, {"ledgerRev", rev_}}.dump()};
@@ -155,14 +178,16 @@
     ++rev_;
     for (const auto& a : txn.value("apply", json::array())) {
       if (a.contains("remove")) {
+        changes_[a.at("remove").get<std::string>()] = rev_;
         keys_.erase(a.at("remove").get<std::string>());
         continue;
       }
       const auto path = a.at("set").get<std::string>();
       if (path.starts_with("ledger/")) {
-        const auto it = keys_.find("leader");
+        const auto it = keys_.find(lead());
         if (it == keys_.end() || it->second.stamp != conditioned) ++unfenced_;
       }
+      changes_[path] = rev_;
       keys_[path] = {a.at("value"), rev_, a.value("hold", std::uint64_t{0})};
     }
     changed_.notify_all();
@@ -192,14 +217,11 @@
       const auto prefix = query(target, "prefix");
       const auto from = std::stoull(query(target, "from"));
       const double until = steady_now() + std::stod(query(target, "blockMs")) / 1000;
-      const auto state = [&] {
-        std::pair<std::size_t, std::uint64_t> out{0, 0};
-        for (const auto& [k, v] : keys_)
-          if (k.starts_with(prefix)) out = {out.first + 1, std::max(out.second, v.stamp)};
-        return out;
+      const auto changed = [&] {
+        return std::any_of(changes_.begin(), changes_.end(),
+                           [&](const auto& c) { return c.second > from && c.first.starts_with(prefix); });
       };
-      // Enough for one key: it is there, unchanged, until it is not.
-      while (!ending_ && steady_now() < until && (door.refuses || (state().first > 0 && state().second <= from)))
+      while (!ending_ && steady_now() < until && (door.refuses || !changed()))
         changed_.wait_for(lock, std::chrono::milliseconds(20));
       return {200, json{{"ledgerRev", rev_}, {"events", json::array()}}.dump()};
     }
@@ -251,6 +273,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Key> keys_;
+  std::map<std::string, std::uint64_t> changes_;  // the latest of each key, removals included
   std::map<std::uint64_t, Hold> holds_;
   std::list<Late> late_;
   std::uint64_t rev_ = 0, hold_ids_ = 0;
