--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -90,8 +90,14 @@
   while (expected.size() < settings_.count) expected.push_back("unnamed-" + std::to_string(expected.size()));
   Lock lock(mutex_);
   if (term_number_ != number || !decisive() || term_->step || look.leader_stamp != term_->epoch) return;
+  // A change of its own that came late. Found by reading: with what it knew of its entries it could have lowered a ledger
+  // that was not written anew.
+  if (look.on != term_->level) {
+    step_down(lock, "the state level is another one than it knows");
+    return;
+  }
   rollout::Leading leading{
-      {settings_.label, incarnation_}, term_->epoch, term_->hold, term_->tail.old_entries(), {}};
+      {settings_.label, incarnation_}, term_->epoch, term_->hold, term_->level, term_->tail.old_entries(), {}};
   if (term_->tail.generation() != 0)
     leading.no_older_form = "generation " + std::to_string(term_->tail.generation());
   auto step = rollout::next_step(look, rollout::roster_of(records.rows), expected, answers, leading,
--- a/src/rollout/levels.cpp
+++ b/src/rollout/levels.cpp
@@ -92,6 +92,13 @@
                const std::map<std::string, Able>& answers, const Leading& leading, double wall,
                double soak_s) {
   using Kind = Step::Kind;
+  // What it knows of the ledger holds for the level that it writes by alone.
+  if (look.on != leading.level) {
+    Step step;
+    step.after = look.on;
+    step.waits_for = "a leader that knows of the level that is on";
+    return step;
+  }
   // A peer that answers otherwise than its record says was put back to an older build, or could not write its
   // own.
   for (const auto& [label, able] : answers) {
--- a/src/rollout/levels.hpp
+++ b/src/rollout/levels.hpp
@@ -71,6 +71,7 @@
 struct Leading {
   LeaderValue value;
   std::uint64_t epoch = 0, hold = 0;
+  LevelOn level;            // as it knows it, and writes by
   bool old_entries = true;    // some of the ledger's entries are not of the level being written
   std::string no_older_form;  // what in the ledger can't be written at a lower level; empty: all can
 };
