--- /dev/null
+++ b/rig/checker.hpp
@@ -0,0 +1,65 @@
+// The rules of the protocol, checked on what users were told and on what really ran. Knows nothing of the
+// code under test. Pure; times are steady seconds.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace thistle::rig {
+
+struct JobSpec {
+  std::string uid, owner, shape, yard;  // yard: empty: any
+  std::uint32_t pieces = 1;
+  double cores = 1, run_s = 1;
+};
+
+class Checker {
+ public:
+  Checker(std::map<std::string, double> limits, double cancel_s)
+      : limits_(std::move(limits)), cancel_s_(cancel_s) {}
+
+  void submitted(const JobSpec& job, double now);
+  // What a user was told of a job: status as in the protocol, or "unknown" for 404, "refused" for 400 and
+  // 422.
+  void told(const std::string& uid, const std::string& status, double now);
+  void wants_withdrawn(const std::string& uid);
+  // A poll that got no true answer.
+  void failed_poll(const std::string& uid, double now);
+  // A task is on a machine from when it has its image until it is off it.
+  void on(const std::string& uid, std::uint32_t task, const std::string& machine, const std::string& zone,
+          double now);
+  void off(const std::string& uid, std::uint32_t task, const std::string& machine, bool done, double now);
+  // Looks for what time alone breaks.
+  void tick(double now);
+
+  [[nodiscard]] std::vector<std::string> broken() const;
+  [[nodiscard]] std::vector<std::string> accepted() const;  // jobs
+  [[nodiscard]] double longest_without_acceptance(double from, double until) const;
+  [[nodiscard]] std::size_t tasks_done() const;
+  [[nodiscard]] std::optional<JobSpec> spec_of(const std::string& uid) const;
+
+ private:
+  struct Job {
+    JobSpec spec;
+    bool accepted = false, withdrawal_wanted = false;
+    std::string last;  // "done" or "aborted", once told
+    double cancelled_at = 0, failing_since = 0;
+    std::set<std::uint32_t> done;
+    std::map<std::uint32_t, std::multiset<std::string>> on;  // task -> machines
+  };
+  void broke(const std::string& rule, const std::string& what, double now);
+
+  mutable std::mutex mutex_;
+  std::map<std::string, double> limits_, used_;
+  double cancel_s_, polled_at_ = 0, began_ = 0;
+  std::map<std::string, Job> jobs_;
+  std::vector<double> acceptances_;
+  std::vector<std::string> broken_;
+  std::size_t tasks_done_ = 0;
+};
+
+}  // namespace thistle::rig
--- /dev/null
+++ b/rig/cluster.cpp
@@ -0,0 +1,413 @@
+#include "rig/cluster.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+#include "transport/clock.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle::rig {
+
+using nlohmann::json;
+
+namespace {
+constexpr const char* kZones[] = {"x", "y"};
+constexpr double kCores = 8;
+constexpr double kTick = 0.1;
+const std::map<std::string, double> kLimits{{"red", 60}, {"blue", 25}};
+}  // namespace
+
+Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers,
+               Checker& checker, Times times, unsigned seed)
+    : name_(std::move(name)),
+      zone_(std::move(zone)),
+      controllers_(controllers),
+      checker_(checker),
+      times_(times),
+      random_(seed) {
+  lease_until_ = steady_now() + times_.lease;
+  server_ = std::make_unique<HttpServer>(address_, 20, [this](const HttpCall& c) { return on_call(c); });
+  thread_ = std::jthread([this](std::stop_token stop) { live(stop); });
+}
+
+HttpReply Worker::on_call(const HttpCall& call) {
+  // A machine that hangs answers later, when it resumes.
+  while (steady_now() < hangs_until_) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  std::lock_guard lock(mutex_);
+  progress(steady_now());
+  if (call.target == "/commands") {
+    const auto body = json::parse(call.body, nullptr, false);
+    if (!body.is_object() || !body.contains("epoch") || !body.contains("tenure")) return {400, "{}"};
+    const auto epoch = body.at("epoch").get<std::uint64_t>();
+    if (dead_ || epoch < epoch_ || body.at("tenure") != tenure_) return {409, report()};
+    changed_ |= epoch > epoch_;
+    epoch_ = epoch;
+    execute(body.at("orders"));
+  }
+  return {200, report()};
+}
+
+void Worker::execute(const json& orders) {
+  const double now = steady_now();
+  for (const auto& o : orders) {
+    const auto name = o.at("piece").get<std::string>();
+    const auto attempt = o.at("try").get<std::uint64_t>();
+    const auto verb = o.at("verb").get<std::string>();
+    const auto it = pieces_.find(name);
+    if (verb == "run") {
+      if (it != pieces_.end()) continue;
+      const auto slash = name.find('/');
+      const auto uid = name.substr(0, slash);
+      const auto spec = checker_.spec_of(uid);
+      Piece piece{uid,     static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1))),
+                  attempt, now,
+                  0,       false,
+                  false,   false,
+                  ""};
+      double used = 0;
+      for (const auto& [n, p] : pieces_)
+        if (const auto other = checker_.spec_of(p.uid); other && !p.exited) used += other->cores;
+      if (spec) {
+        piece.run_s = spec->run_s;
+        piece.service = spec->shape == "service";
+      }
+      if (!spec || used + spec->cores > kCores)
+        piece.exited = true, piece.cause = spec ? "no_room" : "unknown";
+      pieces_.emplace(name, piece);
+      changed_ = true;
+    } else if (it != pieces_.end() && it->second.attempt == attempt) {
+      if (verb == "reap" && it->second.exited) {
+        pieces_.erase(it);
+      } else if (verb == "kill" && !it->second.exited) {
+        if (it->second.on) checker_.off(it->second.uid, it->second.task, name_, false, now);
+        it->second.exited = true;
+        it->second.on = false;
+        it->second.cause = "halted";
+      }
+      changed_ = true;
+    }
+  }
+}
+
+void Worker::progress(double now) {
+  if (dead_) return;
+  if (now > lease_until_) {
+    clear(now);
+    ++tenure_;
+    lease_until_ = now + times_.lease;
+  }
+  for (auto& [name, p] : pieces_) {
+    if (p.exited) continue;
+    if (!p.on && now >= p.at + times_.pull) {
+      p.on = changed_ = true;
+      checker_.on(p.uid, p.task, name_, zone_, now);
+    }
+    if (p.on && !p.service && now >= p.at + times_.pull + p.run_s) {
+      p.on = false;
+      p.exited = changed_ = true;
+      p.cause = "done";
+      checker_.off(p.uid, p.task, name_, true, now);
+    }
+  }
+}
+
+void Worker::clear(double now) {
+  for (const auto& [name, p] : pieces_)
+    if (p.on) checker_.off(p.uid, p.task, name_, false, now);
+  pieces_.clear();
+  changed_ = true;
+}
+
+void Worker::die() {
+  std::lock_guard lock(mutex_);
+  clear(steady_now());
+  dead_ = true;
+}
+
+std::string Worker::report() {
+  json pieces = json::array();
+  for (const auto& [name, p] : pieces_) {
+    json j{{"piece", name},
+           {"try", p.attempt},
+           {"status", p.exited ? "exited"
+                      : p.on   ? "running"
+                               : "pulling"}};
+    if (p.exited) j["cause"] = p.cause;
+    pieces.push_back(std::move(j));
+  }
+  return json{{"host", name_},      {"address", address_},        {"hostKind", "big"},   {"yard", zone_},
+              {"loaners", false},   {"tenure", tenure_},          {"serial", ++serial_}, {"epoch", epoch_},
+              {"recallS", nullptr}, {"pieces", std::move(pieces)}}
+      .dump();
+}
+
+void Worker::live(std::stop_token stop) {
+  std::size_t at = random_() % controllers_.size();
+  auto client = std::make_unique<HttpClient>(controllers_[at]);
+  double next = 0, last = 0;
+  while (pause_for(stop, kTick)) {
+    const double now = steady_now();
+    if (now < hangs_until_) continue;
+    std::string body;
+    std::uint64_t tenure = 0;
+    {
+      std::lock_guard lock(mutex_);
+      if (dead_) return;
+      progress(now);
+      if (now < next && (!changed_ || now < last + 0.5)) continue;
+      changed_ = false;
+      body = report();
+      tenure = tenure_;
+    }
+    last = now;
+    next = now + times_.report * std::uniform_real_distribution<double>(0.75, 1.25)(random_);
+    const auto answer = client->post("/v1/report", body, 4);
+    std::lock_guard lock(mutex_);
+    progress(steady_now());
+    if (answer.is(200)) {
+      const auto j = json::parse(answer.body, nullptr, false);
+      const auto epoch = j.is_object() ? j.value("epoch", std::uint64_t{0}) : 0;
+      // One answered while it stood still, of an earlier session, or with a lower token is dropped.
+      if (epoch < epoch_ || tenure != tenure_ || steady_now() > now + 4 || dead_) continue;
+      changed_ |= epoch > epoch_;
+      epoch_ = epoch;
+      lease_until_ = std::max(lease_until_, now + times_.lease);
+      execute(j.at("orders"));
+      continue;
+    }
+    at = (at + 1) % controllers_.size();
+    next = now + 1;
+    if (answer.is(421)) {
+      const auto j = json::parse(answer.body, nullptr, false);
+      const auto steward = j.is_object() ? j.value("steward", std::string()) : "";
+      if (steward.starts_with("host-") && std::stoul(steward.substr(5)) < controllers_.size()) {
+        at = std::stoul(steward.substr(5));
+        next = now;
+      }
+    }
+    client = std::make_unique<HttpClient>(controllers_[at]);
+  }
+}
+
+Cluster::Cluster(const Options& options)
+    : checker(kLimits, Times{}.cancel),
+      state(options.controllers, options.seed),
+      options_(options),
+      directory_((std::filesystem::temp_directory_path() / ("thistlefront-rig-" + std::to_string(::getpid())))
+                     .string()),
+      cloud_address_(testing_::free_address()) {
+  std::filesystem::create_directories(directory_);
+  cloud_ = std::make_unique<HttpServer>(cloud_address_, 20, [this](const HttpCall& c) { return cloud(c); });
+  const auto n = options.controllers;
+  std::vector<std::string> peers;
+  for (std::size_t i = 0; i < n; ++i) {
+    addresses_.push_back(testing_::free_address());
+    peers.push_back(testing_::free_address());
+  }
+  for (std::size_t i = 0; i < n; ++i) {
+    configs_.push_back(directory_ + "/host-" + std::to_string(i) + ".toml");
+    std::ofstream out(configs_.back());
+    out << "label = \"host-" << i << "\"\nsite = \"" << kZones[i % 2] << "\"\nclient_listen = \""
+        << addresses_[i] << "\"\npeer_listen = \"" << peers[i] << "\"\n";
+    for (std::size_t k = 0; k < n; ++k)
+      if (k != i)
+        out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % 2] << "\"\naddr = \""
+            << peers[k] << "\"\n";
+    out << "[endpoints]\ncloud = \"" << cloud_address_ << "\"\nstate = \"" << state.door(i).address << "\"\n"
+        << "[deployment]\ncount = " << n << "\nzones = [\"x\", \"y\"]\nskew_ms = 5\n";
+    for (const auto& [team, limit] : kLimits)
+      out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << limit / 2
+          << "\ncpus_max = " << limit << "\n";
+    out << "[deployment.workers]\nreport_s = " << times_.report << "\nlease_s = " << times_.lease
+        << "\ngang_wait_s = 10\ngang_peer_s = 2\ncancel_s = " << times_.cancel
+        << "\n[deployment.state]\nrps = 1000\nwrite_rps = 200\nvalue_kb = 8\ntxn_ops = 16\n"
+        << "[deployment.cloud]\nrps = 10\nlist_lag_s = 1\n[deployment.limits]\ncpu = 1\nmemory_mb = "
+           "500\nmax_sockets = 4000\n";
+  }
+  processes_.resize(n, 0);
+  for (std::size_t i = 0; i < options.workers; ++i)
+    workers.push_back(std::make_unique<Worker>("m-" + std::to_string(100000 + i), kZones[i % 2], addresses_,
+                                               checker, times_,
+                                               options.seed * 10000 + static_cast<unsigned>(i)));
+  ticker_ = std::jthread([this](std::stop_token stop) {
+    while (pause_for(stop, kTick)) checker.tick(steady_now());
+  });
+  for (std::size_t i = 0; i < options.users; ++i)
+    users_.emplace_back(
+        [this, i](std::stop_token stop) { use(stop, options_.seed * 100 + static_cast<unsigned>(i)); });
+}
+
+Cluster::~Cluster() {
+  users_.clear();
+  for (std::size_t i = 0; i < processes_.size(); ++i) end(i);
+  workers.clear();
+  cloud_->stop();
+  std::filesystem::remove_all(directory_);
+}
+
+void Cluster::start(std::size_t i, const std::string& program, const std::vector<std::string>& flags) {
+  end(i);
+  std::vector<std::string> words{program};
+  words.insert(words.end(), flags.begin(), flags.end());
+  words.insert(words.end(), {"--config", configs_[i]});
+  std::vector<char*> argv;
+  for (auto& w : words) argv.push_back(w.data());
+  argv.push_back(nullptr);
+  const auto log =
+      options_.logs.empty() ? "/dev/null" : options_.logs + "/host-" + std::to_string(i) + ".log";
+  const pid_t pid = fork();
+  if (pid == 0) {
+    const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(fd, 2);
+    // Sockets of the stand-in cluster are not the process's.
+    ::close_range(3, ~0U, 0);
+    ::execv(program.c_str(), argv.data());
+    ::_exit(127);
+  }
+  processes_[i] = pid;
+}
+
+void Cluster::end(std::size_t i) {
+  if (processes_[i] <= 0) return;
+  ::kill(processes_[i], SIGKILL);
+  ::waitpid(processes_[i], nullptr, 0);
+  processes_[i] = 0;
+}
+
+void Cluster::freeze(std::size_t i, bool frozen) {
+  if (processes_[i] > 0) ::kill(processes_[i], frozen ? SIGSTOP : SIGCONT);
+}
+
+std::size_t Cluster::leader() {
+  const auto label = state.leader();
+  for (std::size_t i = 0; i < processes_.size(); ++i)
+    if (label == "host-" + std::to_string(i)) return i;
+  return processes_.size();
+}
+
+HttpReply Cluster::cloud(const HttpCall& call) {
+  if (call.target == "/flavors")
+    return {200, json{{"hostKinds",
+                       {{{"sku", "big"},
+                         {"cores", kCores},
+                         {"accelerators", 0},
+                         {"ramGb", 64},
+                         {"cacheGb", 50},
+                         {"fetchGbPerS", 5},
+                         {"price", 1},
+                         {"marketPrice", 0.5},
+                         {"bootS", 5},
+                         {"yards", {"x", "y"}}}}}}
+                     .dump()};
+  if (call.method == "GET") {
+    json hosts = json::array();
+    if (call.target.find("from=") == std::string_view::npos)
+      for (const auto& w : workers)
+        hosts.push_back({{"uid", w->name()},
+                         {"address", w->address()},
+                         {"hostKind", "big"},
+                         {"yard", w->zone()},
+                         {"loaners", false},
+                         {"status", "running"},
+                         {"heldS", 100}});
+    return {200, json{{"hosts", hosts}, {"truncated", false}}.dump()};
+  }
+  // Machines are neither rented nor given back: a trouble that the service has to live with.
+  return {503, R"({"error":"no capacity"})"};
+}
+
+HttpResult Cluster::ask(const std::string& method, const std::string& path, const std::string& body,
+                        unsigned& random) {
+  HttpResult last;
+  for (std::size_t k = 0; k < addresses_.size(); ++k) {
+    random = random * 1664525u + 1013904223u;
+    HttpClient client(addresses_[(random >> 8) % addresses_.size()]);
+    last = client.call(method, path, body, method == "GET" ? 2 : 5);
+    if (last.delivery != Delivery::unsent) break;
+  }
+  return last;
+}
+
+void Cluster::poll(const std::string& uid, const HttpResult& answer) {
+  const double now = steady_now();
+  const auto j = answer.delivery == Delivery::answered ? json::parse(answer.body, nullptr, false) : json();
+  if (answer.is(200) || answer.is(201)) {
+    checker.told(uid, j.is_object() ? j.value("status", std::string("?")) : "?", now);
+  } else if (answer.is(404)) {
+    checker.told(uid, "unknown", now);
+  } else if (answer.is(400) || answer.is(422)) {
+    checker.told(uid, "refused", now);
+  } else {
+    checker.failed_poll(uid, now);
+  }
+}
+
+void Cluster::use(std::stop_token stop, unsigned seed) {
+  std::mt19937 random(seed);
+  unsigned dice = seed;
+  std::vector<std::string> mine;
+  std::uint64_t n = 0;
+  while (pause_for(stop, 0.15)) {
+    const auto what = random() % 10;
+    if (mine.empty() || what < 3) {
+      JobSpec job;
+      job.uid = "j-" + std::to_string(seed * 100000ull + ++n);
+      job.owner = random() % 3 == 0 ? "blue" : "red";
+      job.shape = random() % 5 == 0 ? "service" : "batch";
+      job.pieces = 1 + random() % (job.shape == "service" ? 3 : 12);
+      job.run_s = 0.5 + random() % 5;
+      if (random() % 4 == 0) job.yard = kZones[random() % 2];
+      checker.submitted(job, steady_now());
+      json body{{"uid", job.uid},
+                {"jobClass", job.shape},
+                {"owner", job.owner},
+                {"shape", job.shape},
+                {"rank", job.shape == "service" ? "prod" : "standard"},
+                {"pieces", job.pieces},
+                {"cores", job.cores},
+                {"accelerators", 0},
+                {"ramGb", 1},
+                {"bundle", "i"},
+                {"pullGb", 1},
+                {"hostKinds", nullptr},
+                {"yard", nullptr},
+                {"oneZone", false},
+                {"spread", false},
+                {"loaners", false},
+                {"expectedS", job.shape == "service" ? 0 : job.run_s},
+                {"snapshotEveryS", 0},
+                {"snapshotS", 0},
+                {"dueS", nullptr}};
+      if (!job.yard.empty()) body["yard"] = job.yard;
+      HttpResult answer;
+      for (int tries = 0; tries < 20 && !stop.stop_requested(); ++tries) {
+        answer = ask("POST", "/v1/jobs", body.dump(), dice);
+        if (answer.is(200) || answer.is(201) || answer.is(400) || answer.is(422)) break;
+        if (!pause_for(stop, 1)) return;
+      }
+      if (answer.is(200) || answer.is(201)) mine.push_back(job.uid);
+      poll(job.uid, answer);
+    } else if (what == 3 || mine.size() > 40) {
+      const auto at = random() % mine.size();
+      checker.wants_withdrawn(mine[at]);
+      poll(mine[at], ask("POST", "/v1/jobs/" + mine[at] + "/withdraw", "", dice));
+    } else if (what == 4) {
+      const auto uid = "j-9" + std::to_string(random());
+      const auto answer = ask("GET", "/v1/jobs/" + uid, "", dice);
+      if (answer.is(200)) checker.told(uid, "known", steady_now());
+    } else {
+      const auto& uid = mine[random() % mine.size()];
+      poll(uid, ask("GET", "/v1/jobs/" + uid, "", dice));
+    }
+    // Services and jobs that go on for long are withdrawn in the end.
+    if (mine.size() > 60) mine.erase(mine.begin());
+  }
+}
+
+}  // namespace thistle::rig
--- a/tests/state_service.hpp
+++ b/rig/state_service.hpp
@@ -1,4 +1,4 @@
-// An in-memory state service for the tests, as the protocol describes it, with a door (a listening address) for each
+// An in-memory state service for tests and rig, as the protocol describes it, with a door (a listening address) for each
 // controller. A door can refuse, lose answers, and keep transactions to execute them late.
 #pragma once
 #include <unistd.h>
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "coordination/due_workers.hpp"
-#include "state_service.hpp"
+#include "rig/state_service.hpp"
 #include "transport/clock.hpp"
 #include "transport/kept_lines.hpp"
 
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -5,7 +5,7 @@
 
 #include "coordination/controller.hpp"
 #include "protocol/messages.hpp"
-#include "state_service.hpp"
+#include "rig/state_service.hpp"
 
 namespace thistle::testing_ {
 
--- a/tests/frames_test.cpp
+++ b/tests/frames_test.cpp
@@ -4,7 +4,7 @@
 #include <thread>
 
 #include "protocol/peer_messages.hpp"
-#include "state_service.hpp"
+#include "rig/state_service.hpp"
 #include "transport/clock.hpp"
 
 namespace thistle {
