What is stored and said is kept byte for byte; Controller smaller by four parts of their own

Entries, keys and frames of each level in tests/stored; alterations, holes and older versions of entries are told with their place.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -21,7 +21,6 @@
 constexpr double kSilentReports = 2.0;      // report periods
 constexpr double kDirectReports = 1.45;     // report periods within which one that reaches it has been heard
 constexpr std::size_t kDirectShare = 3;     // one in so many
-constexpr double kStalled = 10.0;           // seconds that planned starts may take into the ledger
 constexpr double kProbeTimeout = 1.0;
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
@@ -251,11 +250,9 @@
 // On one play of operations on kaubaalus ops nothing ran for minutes, and nothing in the log said so.
 void Controller::watch_starts() {
   Lock lock(mutex_);
-  if (!decisive() || start_due_since_ == 0 || stall_told_) return;
-  const double since = steady_now() - start_due_since_;
-  if (since < kStalled) return;
-  stall_told_ = true;
-  spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}", since,
+  const double now = steady_now();
+  if (!decisive() || !start_watch_.tell(now)) return;
+  spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}", start_watch_.stalled(now),
                queue_.size(), store_failing_since_ != 0 ? "fail" : "go through");
 }
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -23,6 +23,7 @@
       incarnation_(random_word() >> 2),
       able_{rollout::kLeastLevel, tuning.state_level_reads, std::min(tuning.state_level_most, tuning.state_level_reads),
             incarnation_, rollout::kBuild},
+      writes_(settings_.state_write_rps),
       random_(random_word()),
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
       lines_(budget_.lines),
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -1,7 +1,6 @@
 // A controller: leads when it holds the leader's key, and otherwise forwards to the one that does.
 #pragma once
 #include <atomic>
-#include <cmath>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -22,9 +21,13 @@
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
 #include "coordination/silence.hpp"
+#include "coordination/standing_back.hpp"
+#include "coordination/start_watch.hpp"
 #include "coordination/store_client.hpp"
 #include "coordination/tuning.hpp"
+#include "coordination/turnover.hpp"
 #include "ledger/tail.hpp"
+#include "ledger/write_budget.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_messages.hpp"
 #include "protocol/settings.hpp"
@@ -140,7 +143,6 @@
   void charge_writes(std::size_t changes);
   // Tells the operator who was judged to be at fault for failures.
   void tell_blame();
-  [[nodiscard]] double write_rate() const;
 
   // ---- passes (passes.cpp)
   void pass_duty(std::stop_token stop);
@@ -206,16 +208,12 @@
   double follower_since_ = 0, last_beat_ = 0, leader_since_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
   bool committing_ = false;
-  // Steady seconds: since when starts that fit are planned and none is in the ledger; 0: it is not so.
-  double start_due_since_ = 0;
-  bool stall_told_ = false;
+  StartWatch start_watch_;
   std::atomic<double> lag_{0};   // seconds by which the leader's renewals run late, lately
   // Steady seconds: since when no leader is known that could read the ledger; 0: one is.
   double unread_since_ = 0;
   std::string level_waits_for_;  // for what the next state level is waited; empty: for nothing
-  double stand_back_until_ = 0;  // steady seconds: others go first
-  double handed_over_at_ = -1e9;
-  unsigned hand_overs_ = 0;      // shortly after each other
+  StandingBack standing_back_;
 
   std::condition_variable_any role_changed_;
   std::condition_variable_any queue_filled_;
@@ -227,7 +225,7 @@
   double commit_at_ = 0;  // steady seconds: when what is queued must go
   std::unordered_map<std::string, std::uint64_t> accepting_;  // uid -> ticket
   bool pass_due_ = false;
-  double write_tokens_ = 0, write_tokens_at_ = 0;
+  WriteBudget writes_;
   std::mt19937_64 random_;
 
   std::unordered_map<std::string, std::vector<double>> wait_aims_;  // by job class, as the settings name them
@@ -237,16 +235,7 @@
   struct Demand {
     double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
-  // Cores that tasks gave back by ending, on machines without accelerators, fading with time.
-  struct Turnover {
-    static constexpr double kMemory = 8.0;  // seconds
-    double cores = 0, at = 0;
-    [[nodiscard]] double rate(double steady) const { return cores * std::exp((at - steady) / kMemory) / kMemory; }
-    void add(double more, double steady) {
-      cores = cores * std::exp((at - steady) / kMemory) + more;
-      at = steady;
-    }
-  } turnover_;
+  Turnover turnover_;
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   DueWorkers due_;
   KeptLines lines_;
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -18,12 +18,9 @@
 constexpr double kLonelyGrace = 5.0;  // longest that an uncertain leader answers workers without a majority
 constexpr double kAnswerLag = 1.0;
 constexpr double kStandBack = 4.0;    // before it tries to lead again
-constexpr double kLongStandBack = 15.0;  // one that the workers do not reach
 constexpr double kLookAgain = 0.3;
 constexpr double kOthersFirst = 3.0;  // one that stands back leads all the same when nobody else has for this long
 constexpr double kLagMemory = 0.7;    // of the lateness before, at each renewal
-constexpr double kHandOverMemory = 120.0;
-constexpr unsigned kMostHandOvers = 3;
 constexpr double kLastCommit = 0.4;   // what is queued may go into the ledger before the hold is given back
 }  // namespace
 
@@ -64,7 +61,7 @@
       double stand_back = 0;
       {
         Lock lock(mutex_);
-        stand_back = stand_back_until_ - steady_now();
+        stand_back = standing_back_.left(steady_now());
       }
       // Not for long: where nobody does, a leader that the workers reach badly is better than none.
       if (missing_since == 0) missing_since = steady_now();
@@ -176,11 +173,7 @@
         break;
       }
       if (term_->hand_over) {
-        // Where it comes back again and again, it is not this controller that is at fault.
-        const double now = steady_now();
-        hand_overs_ = now - handed_over_at_ < kHandOverMemory ? std::min(hand_overs_ + 1, kMostHandOvers) : 0;
-        handed_over_at_ = now;
-        hand_over(lock, store, hold, term_->hand_over, kLongStandBack * (1u << hand_overs_));
+        hand_over(lock, store, hold, term_->hand_over, standing_back_.again(steady_now()));
         break;
       }
       if (uncertain) {
@@ -254,7 +247,7 @@
                     [&] { return term_number_ != number || (queue_.empty() && !committing_); });
   if (term_number_ == number) step_down(lock, why);
   ++counters_.handed_over;
-  stand_back_until_ = steady_now() + stand_back_s;
+  standing_back_.until(steady_now() + stand_back_s);
   lock.unlock();
   store.drop(hold);
 }
@@ -273,8 +266,7 @@
   unserved_.clear();
   starting_.clear();
   level_waits_for_.clear();
-  start_due_since_ = 0;
-  stall_told_ = false;
+  start_watch_.started();
   refused_rentals_.clear();  // kinds are numbered anew by the next book
   term_.reset();
   due_.clear();
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-constexpr double kWriteShare = 0.85;  // of the service's writes that the leader uses
-constexpr double kWriteBurst = 0.7;  // seconds' worth of them that may be made at once
-constexpr double kUsersShare = 0.35; // of those, kept for records that users wait for
 constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
 constexpr double kRewriteShare = 0.2;  // of the writes: for entries of another level, while nothing else is to be written
 constexpr double kReadAgain = 1.0;       // seconds
@@ -39,7 +36,7 @@
 }  // namespace
 
 std::uint64_t Controller::enqueue(std::vector<Record> records, Haste haste) {
-  const double at = steady_now() + (haste == Haste::soon ? kLingerWrites / write_rate() : 0);
+  const double at = steady_now() + (haste == Haste::soon ? kLingerWrites / writes_.rate() : 0);
   commit_at_ = queue_.empty() ? at : std::min(commit_at_, at);
   if (haste == Haste::user) users_wait_ = true;
   for (auto& r : records) queue_.push_back({std::move(r), ++tickets_});
@@ -54,19 +51,13 @@
   return term_number_ == term && applied_ticket_ >= ticket;
 }
 
-double Controller::write_rate() const { return settings_.state_write_rps * kWriteShare; }
-
 void Controller::await_write(Lock& lock, std::stop_token stop, bool for_users) {
   const auto number = term_number_;
-  const double rate = write_rate(), burst = std::max(1.0, rate * kWriteBurst);
   while (!stop.stop_requested() && term_number_ == number) {
-    const double now = steady_now();
-    write_tokens_ = std::min(burst, write_tokens_ + (now - write_tokens_at_) * rate);
-    write_tokens_at_ = now;
     const bool users = for_users || users_wait_;
-    const double enough = users ? 1 : std::max(1.0, burst * kUsersShare);
-    if (write_tokens_ >= enough) return;
-    queue_filled_.wait_for(lock, stop, std::chrono::duration<double>((enough - write_tokens_) / rate),
+    const double wait = writes_.wait(steady_now(), users);
+    if (wait == 0) return;
+    queue_filled_.wait_for(lock, stop, std::chrono::duration<double>(wait),
                            [&] { return term_number_ != number || (users_wait_ && !users); });
   }
 }
@@ -105,7 +96,7 @@
 }
 
 void Controller::charge_writes(std::size_t changes) {
-  write_tokens_ -= static_cast<double>(changes);
+  writes_.charge(static_cast<double>(changes));
   counters_.writes += changes;
 }
 
@@ -125,7 +116,7 @@
     lock.lock();
     while (!stop.stop_requested() && term_number_ == number) {
       // Entries of another level are written anew also while nothing else is to be written.
-      const double rewrite_period = 1 / (write_rate() * kRewriteShare);
+      const double rewrite_period = 1 / (writes_.rate() * kRewriteShare);
       const auto rewrite_due = [&] {
         return term_->tail.old_entries() && steady_now() >= term_->rewrote_at + rewrite_period;
       };
@@ -295,8 +286,7 @@
     if (const auto* accept = std::get_if<AcceptRecord>(&q.record)) accepting_.erase(accept->job.uid);
     if (const auto* start = std::get_if<StartRecord>(&q.record)) {
       note_starts(*start);
-      start_due_since_ = 0;
-      stall_told_ = false;
+      start_watch_.started();
       if (!std::exchange(term.started, true))
         spdlog::info("first start {:.1f} s after the takeover", steady_now() - term.taken_over_at);
     }
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -387,7 +387,7 @@
       }
     }
     for (const auto& slot : plan.starts) starting_.insert(slot.host);
-    if (start_due_since_ == 0) start_due_since_ = steady;
+    start_watch_.planned(steady);
     const auto ticket = enqueue(std::move(records));
     // Nothing starts, and no other pass is made, until it is certain that the ledger has it.
     while (!wait_applied(lock, ticket, kStartWait))
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -348,8 +348,8 @@
   line("commits_total", counters_.commits.load());
   line("commit_seconds_total", counters_.commit_seconds.load());
   line("writes_total", counters_.writes.load());
-  line("writes_allowed_per_second", write_rate());
-  line("start_stalled_seconds", start_due_since_ != 0 ? steady_now() - start_due_since_ : 0.0);
+  line("writes_allowed_per_second", writes_.rate());
+  line("start_stalled_seconds", start_watch_.stalled(steady_now()));
   line("reports_total", counters_.reports.load());
   line("suspected_jobs_total", counters_.suspected.load());
   line("machines_set_aside_total", counters_.set_aside.load());
--- /dev/null
+++ b/src/coordination/start_watch.hpp
@@ -0,0 +1,27 @@
+// Tells when work that fits does not start: starts were planned, and none gets into the ledger. Pure; steady
+// seconds.
+#pragma once
+
+namespace thistle {
+
+class StartWatch {
+ public:
+  void planned(double now) {
+    if (since_ == 0) since_ = now;
+  }
+  void started() { *this = {}; }
+  [[nodiscard]] double stalled(double now) const { return since_ != 0 ? now - since_ : 0; }
+  // Whether it is time to tell the operator, once for each stall.
+  bool tell(double now) {
+    if (told_ || stalled(now) < kStalled) return false;
+    told_ = true;
+    return true;
+  }
+
+ private:
+  static constexpr double kStalled = 10.0;
+  double since_ = 0;
+  bool told_ = false;
+};
+
+}  // namespace thistle
--- /dev/null
+++ b/tests/stored_test.cpp
@@ -0,0 +1,212 @@
+// What is stored and said, byte for byte as each level writes it: kept in tests/stored, where people read
+// it. What an earlier build wrote must be read for ever, and what is written at its level must be just what
+// it reads.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "coordination/standing_back.hpp"
+#include "coordination/start_watch.hpp"
+#include "jobs.hpp"
+#include "ledger/reader.hpp"
+#include "ledger/write_budget.hpp"
+#include "protocol/peer_messages.hpp"
+#include "rollout/levels.hpp"
+
+namespace thistle {
+namespace {
+
+// One line a value; the first word is its name.
+std::map<std::string, std::string> kept(const std::string& file) {
+  std::ifstream in(std::string(TRACES) + "/../stored/" + file);
+  std::map<std::string, std::string> out;
+  for (std::string line; std::getline(in, line);) {
+    if (line.empty() || line[0] == '#') continue;
+    out[line.substr(0, line.find(' '))] = line.substr(line.find(' ') + 1);
+  }
+  EXPECT_FALSE(out.empty()) << file;
+  return out;
+}
+
+std::vector<Record> some_of_each_kind() {
+  Flavor big;
+  big.name = "big";
+  big.room = {8, 0, 32};
+  big.cache_gb = 50, big.fetch_gb_per_s = 1, big.price = 1, big.market_price = 0.5, big.boot_s = 30;
+  big.yards = {"x"};
+  const AcceptRecord accept{submission("j-1", 4, 1.5), 0.25, 12.5};
+  JobRecord job{accept, JobStatus::queued, 2, {{0, 1}}, {{"m-1", 3, 2, 13.5, {{1, 3}}}}, 0, false, true};
+  return {FlavorsRecord{{big}},
+          accept,
+          StartRecord{"j-1", 1, 13, {{"m-1", 3, {{0, 2}}}}},
+          DoneRecord{"j-1", {{0, 1}}},
+          OffRecord{"j-1", 1, {{1, 2}}, 14.5},
+          CancelRecord{"j-1"},
+          job,
+          EndedRecord{JobStatus::done, {"j-2", "j-3"}}};
+}
+
+TEST(Stored, EntriesOfEachLevelAreWhatTheyWere) {
+  const auto lines = kept("entries.txt");
+  const auto records = some_of_each_kind();
+  EXPECT_EQ(stored_entry(records, {1, 0, 7, 0}), lines.at("level-1"));
+  EXPECT_EQ(stored_entry(records, {2, 0, 7, 0x0123456789abcdef}), lines.at("level-2"));
+  for (const auto* name : {"level-1", "level-2"}) {
+    const auto entry = parse_entry(lines.at(name));
+    EXPECT_EQ(entry.seq, 7u);
+    EXPECT_EQ(stored_entry(entry.records, {1, 0, 7, 0}), lines.at("level-1"))
+        << "nothing is lost from " << name;
+  }
+  // Another spelling of the same values, as a state service may give them back.
+  EXPECT_EQ(parse_entry(lines.at("level-2-respelled")).records.size(), records.size());
+  // Named extras of a writer that knows more are passed over; the check is of them as well.
+  EXPECT_EQ(parse_entry(lines.at("level-2-extras")).records.size(), 2u);
+}
+
+TEST(Stored, KeysOfTheLeadAreWhatTheyWere) {
+  const auto lines = kept("keys.txt");
+  EXPECT_EQ(leader_value({"host-1", 42}), lines.at("leader"));
+  EXPECT_EQ(parked_leader_value(2), lines.at("leader-parked"));
+  EXPECT_EQ(level_value({2, 0}), lines.at("lead-level"));
+  EXPECT_EQ(level_value({2, 1}), lines.at("lead-level-lowering"));
+  EXPECT_EQ(ready_value({2, 100.5}), lines.at("lead-ready"));
+  EXPECT_EQ(able_value({1, 2, 2, 42, "0.2.0"}), lines.at("roster"));
+  EXPECT_EQ(parse_level(lines.at("lead-level-lowering")), (LevelOn{2, 1}));
+  EXPECT_EQ(parse_ready(lines.at("lead-ready")), (Ready{2, 100.5}));
+  EXPECT_EQ(parse_able(lines.at("roster")), (Able{1, 2, 2, 42, "0.2.0"}));
+  // What a later build has more is passed over.
+  EXPECT_EQ(parse_level(R"({"level":2,"towards":1,"why":"x"})"), (LevelOn{2, 1}));
+  for (const auto* bad : {"{}", R"({"level":0})", R"({"level":"2"})", "2", "[", R"({"level":-1})"})
+    EXPECT_THROW(parse_level(bad), Malformed) << bad;
+}
+
+std::string hex(const Frame& frame) {
+  std::string out = std::to_string(frame.kind) + ":";
+  for (const char c : frame.payload) {
+    out += "0123456789abcdef"[static_cast<unsigned char>(c) >> 4];
+    out += "0123456789abcdef"[c & 15];
+  }
+  return out;
+}
+
+TEST(Stored, FramesOfLevelOneAreWhatTheyWere) {
+  const auto lines = kept("frames.txt");
+  EXPECT_EQ(lines.at("version"), std::to_string(kFrameVersion));
+  EXPECT_EQ(hex(pack(Beat{"host-1", 9, 7, 5, 1234, 6})), lines.at("beat"));
+  EXPECT_EQ(hex(pack(BeatAck{9, "host-1", 5, 1234, 6})), lines.at("beat-ack"));
+  EXPECT_EQ(hex(pack(PeerCall{"GET", kAbleTarget, ""})), lines.at("call"));
+  HttpReply reply{200, "{}"};
+  reply.valid_until = 12.5;
+  EXPECT_EQ(hex(pack(reply, 10)), lines.at("reply"));
+  const auto able = pack(Able{1, 2, 2, 42, "0.2.0"});
+  EXPECT_EQ(hex({0, able}), lines.at("able"));
+  EXPECT_EQ(unpack_able(able), (Able{1, 2, 2, 42, "0.2.0"}));
+  EXPECT_EQ(unpack_able(able + "more"), (Able{1, 2, 2, 42, "0.2.0"})) << "of a later version";
+  for (std::size_t cut = 0; cut < able.size(); ++cut) EXPECT_FALSE(unpack_able(able.substr(0, cut))) << cut;
+}
+
+// A flipped bit, an older version of an entry, a missing one: each is told, with its place.
+TEST(Stored, WhatWasAlteredIsLostOrIsOlderIsTold) {
+  std::vector<std::string> values, older;
+  std::uint64_t link = 0;
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    std::vector<Record> records{
+        AcceptRecord{submission("j-" + std::to_string(n), 1, 1), 0.5, 1.0 * static_cast<double>(n)}};
+    older.push_back(stored_entry(records, {2, 0, 2 * n + 1, link}));
+    records.emplace_back(CancelRecord{"j-" + std::to_string(n)});
+    values.push_back(stored_entry(records, {2, 0, 2 * n + 2, link}));
+    const auto entry = parse_entry(values.back());
+    link = link_of(entry.before, n, entry.check);
+  }
+  const auto why = [](const std::map<std::uint64_t, std::string>& entries) {
+    Book book = book_of_red(10);
+    Reader reader(book, 1, 2);
+    for (const auto& [n, value] : entries) {
+      const auto page =
+          parse_entries(R"({"rows":[{"path":")" + entry_key(n) + R"(","value":)" + value + "}]}");
+      if (!reader.take(page.rows.at(0))) return reader.why();
+    }
+    return std::string();
+  };
+  const std::map<std::uint64_t, std::string> whole{
+      {0, values[0]}, {1, values[1]}, {2, values[2]}, {3, values[3]}};
+  EXPECT_EQ(why(whole), "");
+  auto suffix = whole;
+  suffix.erase(0);
+  EXPECT_EQ(why(suffix), "") << "the oldest go when they are not needed any more";
+  auto hole = whole;
+  hole.erase(1);
+  EXPECT_NE(why(hole).find("ledger/000000000002 can't be read: it does not follow entry 0"),
+            std::string::npos)
+      << why(hole);
+  auto back = whole;
+  back[2] = older[2];
+  EXPECT_NE(why(back).find("ledger/000000000003 can't be read: it does not follow entry 2"),
+            std::string::npos)
+      << why(back);
+  // Each byte of an entry, changed: unreadable, or the same values.
+  std::size_t told = 0;
+  for (std::size_t i = 0; i < values[2].size(); ++i) {
+    auto altered = whole;
+    altered[2][i] = static_cast<char>(altered[2][i] ^ 1);
+    if (!nlohmann::json::accept(altered[2])) continue;
+    EXPECT_NE(why(altered), "") << altered[2];
+    ++told;
+  }
+  EXPECT_GT(told, 100u);
+  auto future = whole;
+  future[2].replace(future[2].find("\"level\":2"), 9, "\"level\":3");
+  EXPECT_NE(why(future).find("it is of state level 3, and this build reads 1 to 2"), std::string::npos)
+      << why(future);
+}
+
+TEST(StandingBack, IsLongerWhereItComesToThatAgainAndAgain) {
+  StandingBack s;
+  EXPECT_EQ(s.left(100), 0);
+  EXPECT_EQ(s.again(100), 15);
+  EXPECT_EQ(s.again(150), 30);
+  EXPECT_EQ(s.again(200), 60);
+  EXPECT_EQ(s.again(250), 120);
+  EXPECT_EQ(s.again(300), 120);
+  EXPECT_EQ(s.again(500), 15);
+  s.until(510);
+  EXPECT_EQ(s.left(503), 7);
+}
+
+TEST(StartWatch, TellsOnceForEachStall) {
+  StartWatch w;
+  EXPECT_FALSE(w.tell(50));
+  w.planned(50);
+  w.planned(55);
+  EXPECT_FALSE(w.tell(59));
+  EXPECT_TRUE(w.tell(61));
+  EXPECT_FALSE(w.tell(70));
+  EXPECT_EQ(w.stalled(70), 20);
+  w.started();
+  EXPECT_EQ(w.stalled(71), 0);
+  w.planned(80);
+  EXPECT_TRUE(w.tell(91));
+}
+
+TEST(WriteBudget, KeepsSomeForUsersAndNeverPassesTheRate) {
+  WriteBudget b(40);
+  double now = 100, made = 0;
+  EXPECT_EQ(b.wait(now, false), 0) << "full at first";
+  while (b.wait(now, false) == 0) b.charge(1), ++made;
+  EXPECT_GT(b.wait(now, false), 0);
+  EXPECT_EQ(b.wait(now, true), 0) << "kept for users";
+  while (now < 110) {
+    if (const double wait = b.wait(now, true); wait > 0) {
+      now += wait + 1e-6;
+    } else {
+      b.charge(1), ++made;
+    }
+  }
+  EXPECT_LE(made, 40 * 10.0);
+  EXPECT_GT(made, 300);
+}
+
+}  // namespace
+}  // namespace thistle
