--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -153,7 +154,12 @@
   double next = 0, last = 0;
   while (pause_for(stop, kTick)) {
     const double now = steady_now();
-    if (now < hangs_until_) continue;
+    if (now < hangs_until_) {
+      // What hangs does nothing, but for ending with its lease.
+      std::lock_guard lock(mutex_);
+      if (now > lease_until_) progress(now);
+      continue;
+    }
     std::string body;
     std::uint64_t tenure = 0;
     {
@@ -263,6 +269,7 @@
       options_.logs.empty() ? "/dev/null" : options_.logs + "/host-" + std::to_string(i) + ".log";
   const pid_t pid = fork();
   if (pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(fd, 2);
     // Sockets of the stand-in cluster are not the process's.
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -18,6 +18,8 @@
   Cluster::Options cluster;
   std::string older, newer;
   double seconds = 40, settle = 60;
+  unsigned level = 2;  // that the newer build has
+  bool back = false;
   bool verbose = false;
 };
 
@@ -114,10 +116,30 @@
   const double healed = steady_now();
   double level_after = -1;
   while (steady_now() < healed + plan.settle && level_after < 0) {
-    if (cluster.state.value(thistle::kLevelKey) == R"({"level":2})") level_after = steady_now() - healed;
+    if (cluster.state.value(thistle::kLevelKey) == thistle::level_value({plan.level, 0}))
+      level_after = steady_now() - healed;
     wait(0.1);
   }
   wait(5);
+  double back_after = 0;
+  if (plan.back) {
+    const double held = steady_now();
+    for (std::size_t i = 0; i < n; ++i) {
+      cluster.start(i, plan.newer, {"--state-level-soak", "3", "--state-level-most", "1"});
+      wait(1);
+    }
+    back_after = -1;
+    while (steady_now() < held + plan.settle && back_after < 0) {
+      if (cluster.state.value(thistle::kLevelKey) == thistle::level_value({1, 0}))
+        back_after = steady_now() - held;
+      wait(0.1);
+    }
+    for (std::size_t i = 0; i < n; ++i) {
+      start(i, false);
+      wait(1);
+    }
+    wait(8);
+  }
   cluster.stop_users();
   // Once more, each job that was ever accepted.
   unsigned dice = plan.cluster.seed;
@@ -139,11 +161,13 @@
   std::cout << "seed " << plan.cluster.seed << ": " << events << " events, " << accepted.size()
             << " jobs accepted, " << cluster.checker.tasks_done()
             << " tasks done, longest without an acceptance " << gap << " s (" << after
-            << " s when all was well), level 2 on after " << level_after << " s, " << unanswered
+            << " s when all was well), level on after " << level_after << " s, "
+            << (plan.back ? "back at level 1 after " + std::to_string(back_after) + " s, " : "") << unanswered
             << " unanswered, " << cluster.state.unfenced() << " unfenced, " << broken.size()
             << " rules broken" << std::endl;
   for (const auto& b : broken) std::cout << "  " << b << std::endl;
-  return broken.empty() && unanswered == 0 && level_after >= 0 && cluster.state.unfenced() == 0;
+  return broken.empty() && unanswered == 0 && level_after >= 0 && back_after >= 0 &&
+         cluster.state.unfenced() == 0;
 }
 
 }  // namespace
@@ -168,6 +192,9 @@
   rollout->add_option("--users", plan.cluster.users)->check(CLI::Range(1, 200))->capture_default_str();
   rollout->add_option("--first-seed", first)->capture_default_str();
   rollout->add_option("--last-seed", last)->capture_default_str();
+  rollout->add_option("--level", plan.level, "state level that the newer build has")->capture_default_str();
+  rollout->add_flag("--back", plan.back,
+                    "afterwards the newer build is held at level 1 and the older one rolled out again");
   rollout->add_option("--seconds", plan.seconds, "of trouble")->capture_default_str();
   rollout->add_option("--settle", plan.settle, "seconds within which the level must come on afterwards")
       ->capture_default_str();
