Teams' terms by agreement: in the ledger from level 3 on, in force when all controllers have them

Change: bookkeeping/accounts (terms, use, what workers report beside what is placed) and bookkeeping/agreement, both pure. While controllers differ the lower limit and the higher guarantee hold, by a record, whoever leads; a team in no settings keeps its terms and takes no jobs; a team that nobody has told terms of starts nothing. The order of a team's jobs is the ledger's. The rig plays limits changed by files under trouble; its checker is shown to find each rule broken.

--- a/rig/checker.cpp
+++ b/rig/checker.cpp
@@ -13,6 +13,11 @@
   broken_.push_back(rule + ": " + what + " at " + std::to_string(now - began_) + " s");
 }
 
+void Checker::limit(const std::string& team, double cores) {
+  std::lock_guard lock(mutex_);
+  limits_[team] = cores;
+}
+
 void Checker::submitted(const JobSpec& job, double now) {
   std::lock_guard lock(mutex_);
   if (began_ == 0) began_ = now;
--- a/rig/checker.hpp
+++ b/rig/checker.hpp
@@ -22,6 +22,8 @@
   Checker(std::map<std::string, double> limits, double cancel_s)
       : limits_(std::move(limits)), cancel_s_(cancel_s) {}
 
+  // What a team may use from now on; while controllers' settings differ, the highest of them.
+  void limit(const std::string& team, double cores);
   void submitted(const JobSpec& job, double now);
   // What a user was told of a job: status as in the protocol, or "unknown" for 404, "refused" for 400 and
   // 422.
--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -21,7 +21,6 @@
 constexpr const char* kZones[] = {"x", "y"};
 constexpr double kCores = 8;
 constexpr double kTick = 0.1;
-const std::map<std::string, double> kLimits{{"red", 60}, {"blue", 25}};
 }  // namespace
 
 Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers,
@@ -211,31 +210,12 @@
   std::filesystem::create_directories(directory_);
   cloud_ = std::make_unique<HttpServer>(cloud_address_, 20, [this](const HttpCall& c) { return cloud(c); });
   const auto n = options.controllers;
-  std::vector<std::string> peers;
   for (std::size_t i = 0; i < n; ++i) {
     addresses_.push_back(testing_::free_address());
-    peers.push_back(testing_::free_address());
-  }
-  for (std::size_t i = 0; i < n; ++i) {
+    peers_.push_back(testing_::free_address());
     configs_.push_back(directory_ + "/host-" + std::to_string(i) + ".toml");
-    std::ofstream out(configs_.back());
-    out << "label = \"host-" << i << "\"\nsite = \"" << kZones[i % 2] << "\"\nclient_listen = \""
-        << addresses_[i] << "\"\npeer_listen = \"" << peers[i] << "\"\n";
-    for (std::size_t k = 0; k < n; ++k)
-      if (k != i)
-        out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % 2] << "\"\naddr = \""
-            << peers[k] << "\"\n";
-    out << "[endpoints]\ncloud = \"" << cloud_address_ << "\"\nstate = \"" << state.door(i).address << "\"\n"
-        << "[deployment]\ncount = " << n << "\nzones = [\"x\", \"y\"]\nskew_ms = 5\n";
-    for (const auto& [team, limit] : kLimits)
-      out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << limit / 2
-          << "\ncpus_max = " << limit << "\n";
-    out << "[deployment.workers]\nreport_s = " << times_.report << "\nlease_s = " << times_.lease
-        << "\ngang_wait_s = 10\ngang_peer_s = 2\ncancel_s = " << times_.cancel
-        << "\n[deployment.state]\nrps = 1000\nwrite_rps = 200\nvalue_kb = 8\ntxn_ops = 16\n"
-        << "[deployment.cloud]\nrps = 10\nlist_lag_s = 1\n[deployment.limits]\ncpu = 1\nmemory_mb = "
-           "500\nmax_sockets = 4000\n";
   }
+  for (std::size_t i = 0; i < n; ++i) configure(i, kLimits);
   processes_.resize(n, 0);
   for (std::size_t i = 0; i < options.workers; ++i)
     workers.push_back(std::make_unique<Worker>("m-" + std::to_string(100000 + i), kZones[i % 2], addresses_,
@@ -249,6 +229,27 @@
         [this, i](std::stop_token stop) { use(stop, options_.seed * 100 + static_cast<unsigned>(i)); });
 }
 
+void Cluster::configure(std::size_t i, const std::map<std::string, double>& limits) {
+  const auto n = configs_.size();
+  std::ofstream out(configs_[i]);
+  out << "label = \"host-" << i << "\"\nsite = \"" << kZones[i % 2] << "\"\nclient_listen = \""
+      << addresses_[i] << "\"\npeer_listen = \"" << peers_[i] << "\"\n";
+  for (std::size_t k = 0; k < n; ++k)
+    if (k != i)
+      out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % 2] << "\"\naddr = \""
+          << peers_[k] << "\"\n";
+  out << "[endpoints]\ncloud = \"" << cloud_address_ << "\"\nstate = \"" << state.door(i).address << "\"\n"
+      << "[deployment]\ncount = " << n << "\nzones = [\"x\", \"y\"]\nskew_ms = 5\n";
+  for (const auto& [team, limit] : limits)
+    out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << limit / 2 << "\ncpus_max = " << limit
+        << "\n";
+  out << "[deployment.workers]\nreport_s = " << times_.report << "\nlease_s = " << times_.lease
+      << "\ngang_wait_s = 10\ngang_peer_s = 2\ncancel_s = " << times_.cancel
+      << "\n[deployment.state]\nrps = 1000\nwrite_rps = 200\nvalue_kb = 8\ntxn_ops = 16\n"
+      << "[deployment.cloud]\nrps = 10\nlist_lag_s = 1\n[deployment.limits]\ncpu = 1\nmemory_mb = "
+         "500\nmax_sockets = 4000\n";
+}
+
 Cluster::~Cluster() {
   users_.clear();
   for (std::size_t i = 0; i < processes_.size(); ++i) end(i);
--- a/rig/cluster.hpp
+++ b/rig/cluster.hpp
@@ -66,6 +66,9 @@
   std::jthread thread_;
 };
 
+// Cores that each team may use at first.
+inline const std::map<std::string, double> kLimits{{"red", 60}, {"blue", 25}};
+
 class Cluster {
  public:
   struct Options {
@@ -76,6 +79,8 @@
   explicit Cluster(const Options& options);
   ~Cluster();
 
+  // The settings file of a controller, from its next start on, with these teams and limits.
+  void configure(std::size_t i, const std::map<std::string, double>& limits);
   // Starts a controller with this program, in place of the one that is there; ended without a signal it could
   // heed.
   void start(std::size_t i, const std::string& program, const std::vector<std::string>& flags);
@@ -98,7 +103,7 @@
 
   Options options_;
   Times times_;
-  std::vector<std::string> addresses_, configs_;
+  std::vector<std::string> addresses_, peers_, configs_;
   std::vector<pid_t> processes_;
   std::string directory_, cloud_address_;
   std::unique_ptr<HttpServer> cloud_;
--- /dev/null
+++ b/src/bookkeeping/accounts.cpp
@@ -0,0 +1,76 @@
+#include "bookkeeping/accounts.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+namespace {
+double lower_limit(double a, double b) {
+  return a <= 0 ? b : b <= 0 ? a : std::min(a, b);
+}
+double within(double guarantee, double limit) {
+  return limit > 0 ? std::min(guarantee, limit) : guarantee;
+}
+}  // namespace
+
+TeamTerms narrower(const TeamTerms& a, const TeamTerms& b) {
+  TeamTerms out;
+  out.limit = {lower_limit(a.limit.cores, b.limit.cores),
+               lower_limit(a.limit.accelerators, b.limit.accelerators), 0};
+  out.guarantee = {
+      within(std::max(a.guarantee.cores, b.guarantee.cores), out.limit.cores),
+      within(std::max(a.guarantee.accelerators, b.guarantee.accelerators), out.limit.accelerators), 0};
+  return out;
+}
+
+Accounts::Accounts(const std::vector<Team>& of_settings) : teams_(of_settings) {
+  for (const auto& t : teams_) names_.intern(t.name);
+}
+
+TeamIdx Accounts::of_owner(std::string_view name) {
+  const TeamIdx team = names_.intern(name);
+  if (team.v < teams_.size()) return team;
+  teams_.emplace_back();
+  teams_.back().name = name;
+  teams_.back().unknown = true;
+  return team;
+}
+
+void Accounts::agree(const TeamRecord& record) {
+  agreed_ = true;
+  Team& team = teams_[of_owner(record.name).v];
+  team.record = record;
+  team.unknown = !record.agreed && !record.proposed;
+  const TeamTerms none;
+  const TeamTerms terms = record.agreed && record.proposed
+                              ? narrower(*record.agreed, *record.proposed)
+                              : record.agreed.value_or(record.proposed.value_or(none));
+  team.guarantee = terms.guarantee;
+  team.limit = terms.limit;
+}
+
+bool Accounts::open(TeamIdx team) const {
+  const Team& t = teams_[team.v];
+  return !t.unknown && (agreed_ ? t.record && !t.record->leaving : true);
+}
+
+void Accounts::clear_unplaced() {
+  for (auto& t : teams_) t.unplaced = {};
+}
+
+Resources Accounts::left(TeamIdx team, double unlimited) const {
+  const Team& t = teams_[team.v];
+  // Below nothing: also a task that needs none of what is limited does not fit.
+  if (t.unknown) return {-1, -1, -1};
+  const auto of = [&](double limit, double used) { return limit > 0 ? limit - used : unlimited; };
+  return {of(t.limit.cores, t.used.cores + t.unplaced.cores),
+          of(t.limit.accelerators, t.used.accelerators + t.unplaced.accelerators), unlimited};
+}
+
+std::optional<std::string> Accounts::changing() const {
+  for (const auto& t : teams_)
+    if (t.record && (t.record->proposed || t.record->leaving)) return t.name;
+  return std::nullopt;
+}
+
+}  // namespace thistle
--- /dev/null
+++ b/src/bookkeeping/accounts.hpp
@@ -0,0 +1,62 @@
+// What each team may use, and what it uses. Terms (guarantee and limit) come from the settings file until the
+// ledger holds some, and from the ledger's records from then on: so that a changed file changes nothing by
+// itself, and a takeover by a controller with another file neither. Pure.
+#pragma once
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+struct Team {
+  std::string name;
+  Resources guarantee, limit;  // in force; 0: none
+  Resources used = {};         // by placed tasks, those in doubt of having started included
+  Resources unplaced = {};     // by tasks that workers report and the book places nowhere
+  std::optional<TeamRecord> record = std::nullopt;  // the ledger's terms
+  bool unknown = false;                             // a job's owner that nobody has told terms of
+};
+
+class Accounts {
+ public:
+  explicit Accounts(const std::vector<Team>& of_settings);
+
+  [[nodiscard]] TeamIdx find(std::string_view name) const { return names_.find(name); }
+  // The team of a job that is in the ledger. One without terms gets an account on which nothing starts: with
+  // none, its work had no limit at all once the team was taken out of the settings.
+  TeamIdx of_owner(std::string_view name);
+  // What the ledger says of a team, in place of anything said before.
+  void agree(const TeamRecord& record);
+  // Some terms are in the ledger.
+  [[nodiscard]] bool agreed() const { return agreed_; }
+  // Takes submissions: it has terms, and is not leaving.
+  [[nodiscard]] bool open(TeamIdx team) const;
+
+  void take(TeamIdx team, const Resources& need) { teams_[team.v].used += need; }
+  void give(TeamIdx team, const Resources& need) { teams_[team.v].used -= need; }
+  // What workers report beside what is placed, by team, counted anew for each pass.
+  void clear_unplaced();
+  void add_unplaced(TeamIdx team, const Resources& need) { teams_[team.v].unplaced += need; }
+
+  // What may be started within the limit; what is not limited is `unlimited`.
+  [[nodiscard]] Resources left(TeamIdx team, double unlimited) const;
+  // The first team whose terms differ from place to place or outlive the settings, for which an older level
+  // has no form.
+  [[nodiscard]] std::optional<std::string> changing() const;
+
+  [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
+  [[nodiscard]] const Team& team(TeamIdx t) const { return teams_[t.v]; }
+
+ private:
+  Interner<TeamIdx> names_;
+  std::vector<Team> teams_;
+  bool agreed_ = false;
+};
+
+// What holds while controllers differ: the lower limit, and the higher guarantee as far as it fits.
+TeamTerms narrower(const TeamTerms& a, const TeamTerms& b);
+
+}  // namespace thistle
--- /dev/null
+++ b/src/bookkeeping/agreement.hpp
@@ -0,0 +1,28 @@
+// Teams by agreement: which terms of teams come into force when controllers' settings files differ. Each team
+// for itself. Pure; the leader asks it, and what comes out goes into the ledger.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/accounts.hpp"
+
+namespace thistle {
+
+// The teams of one controller's settings file.
+using TeamsFile = std::map<std::string, TeamTerms>;
+// Tells one file's teams from another's; never 0.
+std::uint64_t digest_of(const TeamsFile& file);
+
+// The records that are to be written now. `files`: of every controller of the settings, by label; nullopt
+// where a file is not known (never seen, or changed and not heard of since). `own`: the leader's, whose terms
+// are in force at first.
+//
+// All have the same terms for a team: they are in force. Some differ: what is in force holds, narrowed by
+// theirs. All are without the team: it takes no more jobs, and keeps its last terms for those that it has.
+std::vector<TeamRecord> next_agreement(const Accounts& accounts, const TeamsFile& own,
+                                       const std::map<std::string, std::optional<TeamsFile>>& files);
+
+}  // namespace thistle
--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -11,8 +11,41 @@
   return n;
 }
 
-Book::Book(const std::vector<Team>& teams) : teams_(teams) {
-  for (const auto& t : teams) team_names_.intern(t.name);
+Book::Book(const std::vector<Team>& teams) : accounts_(teams) {}
+
+std::vector<Resources> Book::recount() const {
+  std::vector<Resources> out(accounts_.teams().size());
+  for (const Job& job : jobs_)
+    for (std::size_t i = 0; i < job.placed.size(); ++i) out[job.team.v] += job.spec.need;
+  return out;
+}
+
+double Book::accepted_next(double wall, double skew_s) const {
+  constexpr double apart = 1e-6, slack = 1;
+  const double after = latest_accepted_ + apart;
+  return after > wall && after < wall + 2 * skew_s + slack ? after : wall;
+}
+
+void Book::count_unplaced() {
+  accounts_.clear_unplaced();
+  for (std::uint32_t i = 0; i < hosts_.size(); ++i) {
+    const Host& host = hosts_[i];
+    if (host.lost || host.gone || host.pieces.empty()) continue;
+    const auto held = std::count_if(host.pieces.begin(), host.pieces.end(),
+                                    [](const SeenPiece& s) { return s.phase != Phase::exited; });
+    const auto seen = std::count_if(host.placed.begin(), host.placed.end(),
+                                    [](const PlacedPiece& p) { return p.at->seen && p.at->phase != Phase::exited; });
+    // Mostly all that it holds is placed there.
+    if (held <= seen) continue;
+    for (const auto& s : host.pieces) {
+      if (s.phase == Phase::exited || !s.ref.job.valid()) continue;
+      const Placement* at = placement(s.ref);
+      const Job& job = jobs_[s.ref.job.v];
+      if (at && at->host == HostIdx{i} && at->attempt == s.attempt) continue;
+      // Placed elsewhere, it is counted there. An ended job's needs are not known any more.
+      if (!at && !job.tasks.empty()) accounts_.add_unplaced(job.team, job.spec.need);
+    }
+  }
 }
 
 JobIdx Book::find(std::string_view uid) const {
@@ -77,8 +110,8 @@
 }
 
 std::optional<std::string> Book::why_never(const Submission& s) const {
-  const TeamIdx team = team_names_.find(s.owner);
-  if (!team.valid()) return "owner: unknown team";
+  const TeamIdx team = accounts_.find(s.owner);
+  if (!team.valid() || !accounts_.open(team)) return "owner: unknown team";
   bool fits = false;
   for (const auto& f : flavors_) {
     const bool named = s.host_kinds.empty() ||
@@ -89,7 +122,7 @@
   }
   if (!fits) return "hostKinds: a task fits no allowed machine type";
   const Resources all = s.need * (s.shape == Shape::batch ? 1.0 : s.pieces);
-  const Resources& limit = teams_[team.v].limit;
+  const Resources& limit = accounts_.team(team).limit;
   if (limit.cores > 0 && all.cores > limit.cores + 1e-6) return "cores: more than the team's limit";
   if (limit.accelerators > 0 && all.accelerators > limit.accelerators + 1e-6)
     return "accelerators: more than the team's limit";
@@ -113,13 +146,14 @@
   auto& job = jobs_.emplace_back();
   job.uid = r.job.uid;
   job.spec = r.job;
-  job.team = team_names_.find(r.job.owner);
+  job.team = accounts_.of_owner(r.job.owner);
   job.job_class = classes_.intern(r.job.job_class);
   job.image = images_.intern(r.job.bundle);
   if (!r.job.yard.empty()) job.yard = zones_.intern(r.job.yard);
   for (const auto& k : r.job.host_kinds) job.kinds.push_back(kinds_.intern(k));
   job.draw = r.draw;
   job.accepted_at = r.at;
+  latest_accepted_ = std::max(latest_accepted_, r.at);
   job.tasks.assign(r.job.pieces, TaskState::waiting);
   job.waiting = r.job.pieces;
   if (job.spec.need.accelerators > 0) {
@@ -155,7 +189,7 @@
   host.placed.push_back({{j, task}, &placement});
   host.used += job.spec.need;
   touch_image(host, job.image, job.spec.pull_gb);
-  if (job.team.valid()) teams_[job.team.v].used += job.spec.need;
+  accounts_.take(job.team, job.spec.need);
 }
 
 void Book::unplace(JobIdx j, std::uint32_t task) {
@@ -170,7 +204,7 @@
   }
   host.used -= job.spec.need;
   if (host.placed.empty()) host.used = {};
-  if (job.team.valid()) teams_[job.team.v].used -= job.spec.need;
+  accounts_.give(job.team, job.spec.need);
   job.placed.erase(it);
   if (job.tasks[task] == TaskState::placed) {
     job.tasks[task] = TaskState::waiting;
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/accounts.hpp"
 #include "bookkeeping/blame.hpp"
 #include "protocol/types.hpp"
 
@@ -105,11 +106,6 @@
   }
 };
 
-struct Team {
-  std::string name;
-  Resources guarantee, limit, used;
-};
-
 class Book {
  public:
   explicit Book(const std::vector<Team>& teams);
@@ -148,9 +144,16 @@
   [[nodiscard]] Blame& blame() { return blame_; }
   [[nodiscard]] const Blame& blame() const { return blame_; }
 
-  std::vector<Team>& teams() { return teams_; }
-  [[nodiscard]] const std::vector<Team>& teams() const { return teams_; }
-  [[nodiscard]] TeamIdx team_of(std::string_view name) const { return team_names_.find(name); }
+  [[nodiscard]] Accounts& accounts() { return accounts_; }
+  [[nodiscard]] const Accounts& accounts() const { return accounts_; }
+  [[nodiscard]] const std::vector<Team>& teams() const { return accounts_.teams(); }
+  // What is used by each team, counted from the placements: the accounts must say the same.
+  [[nodiscard]] std::vector<Resources> recount() const;
+  // Counts what workers report and the book places nowhere against its team.
+  void count_unplaced();
+  // When a job that is accepted now (wall seconds) counts as accepted: after all that are, so that a team's jobs have the
+  // ledger's order for every leader, whatever its clock says within the bound that is known of it.
+  [[nodiscard]] double accepted_next(double wall, double skew_s) const;
 
   // The largest task with accelerators accepted so far that may run on this kind, spot or not; zero when none.
   [[nodiscard]] Resources accelerator_need(KindIdx k, bool loaner) const;
@@ -177,13 +180,14 @@
   void on(const FlavorsRecord& r);
   void on(const JobRecord& r);
   void on(const EndedRecord& r);
+  void on(const TeamRecord& r) { accounts_.agree(r); }
 
-  Interner<TeamIdx> team_names_;
+  Accounts accounts_;
+  double latest_accepted_ = 0;  // wall seconds
   Interner<KindIdx> kinds_;
   Interner<ZoneIdx> zones_;
   Interner<ImageIdx> images_;
   Interner<ClassIdx> classes_;
-  std::vector<Team> teams_;
   std::deque<Job> jobs_;  // never moved: hosts point to placements
   std::unordered_map<std::string, JobIdx> by_uid_;
   std::vector<JobIdx> live_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -14,6 +14,12 @@
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 31) ^ device();
 }
+
+TeamsFile teams_file(const Settings& settings) {
+  TeamsFile out;
+  for (const auto& t : settings.teams) out[t.name] = {t.guarantee, t.limit};
+  return out;
+}
 }  // namespace
 
 Controller::Controller(Settings settings, Tuning tuning)
@@ -21,8 +27,9 @@
       tuning_(tuning),
       budget_(split_budget(tuning.threads, settings_.max_sockets, settings_.peers.size())),
       incarnation_(random_word() >> 2),
+      teams_file_(teams_file(settings_)),
       able_{rollout::kLeastLevel, tuning.state_level_reads, std::min(tuning.state_level_most, tuning.state_level_reads),
-            incarnation_, rollout::kBuild},
+            incarnation_, rollout::kBuild, digest_of(teams_file_)},
       writes_(settings_.state_write_rps),
       random_(random_word()),
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/agreement.hpp"
 #include "bookkeeping/book.hpp"
 #include "coordination/budget.hpp"
 #include "coordination/custody.hpp"
@@ -77,6 +78,8 @@
   Frame on_frame(const Frame& frame);
   HttpReply on_user(const UserRoute& route, std::string_view body);
   HttpReply submit(Lock& lock, std::string_view body);
+  // Whether it could be taken, or not, once the terms of its team are the same everywhere.
+  bool terms_change_for(const Submission& s) const;
   HttpReply status(Lock& lock, const std::string& uid);
   HttpReply withdraw(Lock& lock, const std::string& uid);
   FramePool* leader_pool();  // nullptr when no peer is known to lead
@@ -125,13 +128,18 @@
 
   // ---- roll-outs (rollout.cpp)
   void rollout_duty(std::stop_token stop);
-  // The next step towards another state level, when there is one.
-  void plan_step(StoreClient& store, std::stop_token stop);
+  // The next step towards another state level, or changed terms of teams; whether there was one.
+  bool plan_step(StoreClient& store, std::stop_token stop);
   // What peers answer when asked for their levels; one that does not answer is left out.
   std::map<std::string, Able> ask_peers(std::stop_token stop);
   // Sends the step that is due and takes in what came of it.
   bool take_step(StoreClient& store, std::stop_token stop, Lock& lock);
   void adopt_level(const LevelOn& on, std::uint64_t stamp);
+  // The teams in the settings of every controller, as far as they are known.
+  std::map<std::string, std::optional<TeamsFile>> teams_of_all(const rollout::Roster& roster,
+                                                               const std::vector<std::string>& expected);
+  // Brings changed terms of teams into the ledger; whether there were any.
+  bool agree_on_teams(Lock& lock, const std::map<std::string, std::optional<TeamsFile>>& files);
   // Users are waiting for some records; others can wait a moment and join the next commit, so that many ends cost few
   // writes.
   enum class Haste { user, now, soon };
@@ -197,7 +205,9 @@
   Tuning tuning_;
   const Budget budget_;
   const std::uint64_t incarnation_;
-  const Able able_;  // state levels of this process
+  const TeamsFile teams_file_;  // the teams of its settings
+  const Able able_;             // state levels of this process
+  std::map<std::uint64_t, TeamsFile> teams_files_;  // of other controllers, by digest; used by the roll-out's duty alone
 
   mutable std::mutex mutex_;
   Role role_ = Role::follower;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -298,7 +298,7 @@
     if (const auto* cancel = std::get_if<CancelRecord>(&q.record))
       if (const JobIdx j = term.book->find(cancel->uid); j.valid()) term.book->job(j).cancelled_at = steady_now();
     if (term.book->job_count() > jobs) term.tail.begins(draft.batch_in[i], JobIdx{static_cast<std::uint32_t>(jobs)});
-    if (std::holds_alternative<FlavorsRecord>(q.record)) term.tail.begins(draft.batch_in[i], JobIdx{});
+    if (const auto fact = Rewriter::fact_of(q.record, *term.book)) term.tail.begins(draft.batch_in[i], *fact);
     applied_ticket_ = q.ticket;
   }
   tell_blame();
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -48,7 +48,8 @@
   for (JobIdx j : book.live())
     if (!book.job(j).ended() && book.job(j).team.valid()) jobs.push_back(j);
   std::sort(jobs.begin(), jobs.end(), [&](JobIdx a, JobIdx b) {
-    return book.job(a).accepted_at < book.job(b).accepted_at;
+    const Job &first = book.job(a), &second = book.job(b);
+    return std::tie(first.accepted_at, first.uid) < std::tie(second.accepted_at, second.uid);
   });
   std::vector<Resources> sums(book.teams().size());
   std::set<JobIdx> within;
@@ -258,13 +259,8 @@
     in.hosts.push_back(std::move(p));
   }
   keep_accelerators(in, steady);
-  for (const auto& t : book.teams()) {
-    TeamRoom room;
-    room.left.cores = t.limit.cores > 0 ? t.limit.cores - t.used.cores : kUnlimited;
-    room.left.accelerators = t.limit.accelerators > 0 ? t.limit.accelerators - t.used.accelerators : kUnlimited;
-    room.left.ram_gb = kUnlimited;
-    in.teams.push_back(room);
-  }
+  book.count_unplaced();
+  for (std::uint32_t t = 0; t < book.teams().size(); ++t) in.teams.push_back({book.accounts().left(TeamIdx{t}, kUnlimited)});
   for (JobIdx j : book.live()) {
     const Job& job = book.job(j);
     if (job.ended() || job.waiting == 0 || book.blame().not_before(j) > wall) continue;
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -65,6 +65,7 @@
   }
   if (const auto call = unpack_call(frame)) {
     if (call->target == kAbleTarget) return pack(HttpReply{200, pack(able_)}, steady_now());
+    if (call->target == kTeamsTarget) return pack(HttpReply{200, pack(teams_file_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
     const auto reply =
         route.kind == UserRoute::Kind::report ? on_report(call->body, true) : on_user(route, call->body);
@@ -132,6 +133,15 @@
   return error_reply(503, kUnavailable, kRetryAfter);
 }
 
+bool Controller::terms_change_for(const Submission& s) const {
+  const Accounts& accounts = term_->book->accounts();
+  const TeamIdx t = accounts.find(s.owner);
+  // In this controller's settings, and not in the ledger yet.
+  if (accounts.agreed() && (!t.valid() || !accounts.team(t).record)) return teams_file_.contains(s.owner);
+  if (!t.valid() || !accounts.team(t).record || !accounts.team(t).record->proposed) return false;
+  return term_->book->why_never(s).has_value();
+}
+
 HttpReply Controller::submit(Lock& lock, std::string_view body) {
   Submission s;
   std::string malformed;
@@ -160,10 +170,8 @@
       ++counters_.refused;
       return error_reply(400, malformed);
     }
-    if (!book.team_of(s.owner).valid()) {
-      ++counters_.refused;
-      return error_reply(422, "owner: unknown team");
-    }
+    // A refusal is for good: not while what it rests on is being changed.
+    if (terms_change_for(s)) return error_reply(503, "the terms of its team are being changed", kRetryAfter);
     if (book.flavors().empty()) return error_reply(503, "machine types not known yet", kRetryAfter);
     if (const auto never = book.why_never(s)) {
       ++counters_.refused;
@@ -179,7 +187,7 @@
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const std::string uid = s.uid;
     std::vector<Record> records;
-    records.emplace_back(AcceptRecord{std::move(s), draw, wall_now()});
+    records.emplace_back(AcceptRecord{std::move(s), draw, book.accepted_next(wall_now(), settings_.skew_ms / 1000)});
     ticket = enqueue(std::move(records), Haste::user);
     accepting_.emplace(uid, ticket);
     s.uid = uid;
--- a/src/ledger/reader.cpp
+++ b/src/ledger/reader.cpp
@@ -32,7 +32,7 @@
   }
   for (const auto& record : entry.records) {
     book_.apply(record);
-    if (std::holds_alternative<FlavorsRecord>(record)) found_.rewriter.begins(n, JobIdx{});
+    if (const auto fact = Rewriter::fact_of(record, book_)) found_.rewriter.begins(n, *fact);
   }
   for (; jobs_ < book_.job_count(); ++jobs_)
     found_.rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(jobs_)});
--- a/src/ledger/rewriter.cpp
+++ b/src/ledger/rewriter.cpp
@@ -18,9 +18,23 @@
 }
 }  // namespace
 
+namespace {
+constexpr std::uint32_t kTeams = 1u << 31;  // facts of teams: above all jobs
+bool is_fact(JobIdx j) { return j.v >= kTeams; }
+Record fact(JobIdx j, const Book& book) {
+  if (!j.valid()) return FlavorsRecord{book.flavors()};
+  return *book.accounts().team(TeamIdx{j.v - kTeams}).record;
+}
+}  // namespace
+
+std::optional<JobIdx> Rewriter::fact_of(const Record& record, const Book& book) {
+  if (std::holds_alternative<FlavorsRecord>(record)) return JobIdx{};
+  if (const auto* team = std::get_if<TeamRecord>(&record)) return JobIdx{kTeams + book.accounts().find(team->name).v};
+  return std::nullopt;
+}
+
 void Rewriter::begins(std::uint64_t entry, JobIdx job) {
-  if (!job.valid()) {
-    // The newest flavors are all that is needed of them.
+  if (is_fact(job)) {
     for (auto& [n, jobs] : begin_there_) std::erase(jobs, job);
     std::erase_if(begin_there_, [](const auto& e) { return e.second.empty(); });
   }
@@ -40,8 +54,8 @@
   if (oldest == begin_there_.end() || oldest->first + 1 >= next) return out;
   std::size_t bytes = 0;
   for (JobIdx j : oldest->second) {
-    if (!j.valid()) {
-      out.push_back({j, FlavorsRecord{book.flavors()}, 0, true, true});
+    if (is_fact(j)) {
+      out.push_back({j, fact(j, book), 0, true, true});
       continue;
     }
     std::uint32_t from = j == partial_ ? partial_covered_ : 0;
--- a/src/ledger/rewriter.hpp
+++ b/src/ledger/rewriter.hpp
@@ -7,6 +7,7 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "bookkeeping/book.hpp"
@@ -16,13 +17,15 @@
 class Rewriter {
  public:
   struct Item {
-    JobIdx job;     // not valid: the flavors
+    JobIdx job;     // or a fact: the flavors, a team\'s terms
     Record record;  // true of the book as it is; it goes before anything newer
     std::uint32_t covered = 0;
     bool begins = false, ends = false;  // the first and the last record of this job
   };
 
-  // A job's first record, or the flavors (job not valid), is in this entry.
+  // Facts have no job; of each the newest record is all that is needed. Nothing where the record is none.
+  static std::optional<JobIdx> fact_of(const Record& record, const Book& book);
+  // A job's first record, or a fact, is in this entry.
   void begins(std::uint64_t entry, JobIdx job);
   // What to write next so that the oldest entry can go; nothing while the ledger is short for what the book
   // holds. `next` is the number of the entry after the newest, `entry_bytes` about what one entry holds.
--- a/src/ledger/tail.cpp
+++ b/src/ledger/tail.cpp
@@ -93,7 +93,9 @@
       out.rewritten_in.push_back(entries.back().n);
       continue;
     }
-    if (!fit(r.record)) break;
+    // A level without a form for teams' terms is lowered to only where they are the settings'.
+    const bool no_form = std::holds_alternative<TeamRecord>(r.record) && !teams_at(level_);
+    if (!no_form && !fit(r.record)) break;
     out.rewritten_in.push_back(entries.back().n);
   }
   join(ended[0]);
--- a/src/ledger/tail.hpp
+++ b/src/ledger/tail.hpp
@@ -78,7 +78,7 @@
   Draft draft(const Book& book, std::deque<Pending>& queue, const Limits& limits) const;
   // It is in the ledger; `stamp` is its revision. The batch's records are still to be applied to the book.
   void written(const Draft& draft, std::uint64_t stamp);
-  // A record of the batch made a job known, or told the flavors (job not valid).
+  // A record of the batch made a job known, or is a fact.
   void begins(std::uint64_t entry, JobIdx job) { rewriter_.begins(entry, job); }
 
  private:
--- a/src/protocol/digest.cpp
+++ b/src/protocol/digest.cpp
@@ -74,6 +74,12 @@
   return crc.checksum();
 }
 
+std::uint64_t digest_of_text(std::string_view text) {
+  Crc crc;
+  feed(crc, text);
+  return crc.checksum();
+}
+
 std::uint64_t digest_with(std::uint64_t before, std::uint64_t more) {
   Crc crc;
   feed(crc, before);
--- a/src/protocol/digest.hpp
+++ b/src/protocol/digest.hpp
@@ -12,6 +12,7 @@
 
 // Of one JSON value.
 std::uint64_t digest_of(const nlohmann::json& value);
+std::uint64_t digest_of_text(std::string_view text);
 // Of a sequence, extended by one more.
 std::uint64_t digest_with(std::uint64_t before, std::uint64_t more);
 // 16 hexadecimal digits, and back; throws Malformed.
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -636,6 +636,13 @@
       return {"job", accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done),
               std::move(placed), r.from, r.more, r.suspect};
     }
+    static json terms(const std::optional<TeamTerms>& t) {
+      if (!t) return nullptr;
+      return {t->guarantee.cores, t->guarantee.accelerators, t->limit.cores, t->limit.accelerators};
+    }
+    json operator()(const TeamRecord& r) const {
+      return {"team", r.name, terms(r.agreed), terms(r.proposed), r.leaving};
+    }
     json operator()(const EndedRecord& r) const { return {"ended", spell(r.status, kStatuses), r.uids}; }
   };
   const json j = std::visit(Encode{}, record);
@@ -705,6 +712,13 @@
     if (size > 8) r.suspect = j.at(8).get<bool>();
     return r;
   }
+  if (kind == "team") {
+    const auto terms = [](const json& t) -> std::optional<TeamTerms> {
+      if (t.is_null()) return std::nullopt;
+      return TeamTerms{{t.at(0).get<double>(), t.at(1).get<double>(), 0}, {t.at(2).get<double>(), t.at(3).get<double>(), 0}};
+    };
+    return TeamRecord{j.at(1).get<std::string>(), terms(j.at(2)), terms(j.at(3)), j.at(4).get<bool>()};
+  }
   if (kind == "ended")
     return EndedRecord{word(j.at(1), "status", kStatuses), j.at(2).get<std::vector<std::string>>()};
   throw Malformed("ledger record: unknown kind " + kind);
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -100,6 +100,8 @@
 // {"level":2,"generation":G,"seq":N,"check":"…","before":"…","records":[...]}, where a record may end with an object of named
 // extras, which a reader that does not know them passes over.
 inline constexpr bool checked_at(std::uint32_t level) { return level > 1; }
+// From level 3 on entries hold the terms of teams.
+inline constexpr bool teams_at(std::uint32_t level) { return level > 2; }
 struct EntryHead {
   std::uint32_t level = 1;
   std::uint64_t generation = 0;
--- a/src/protocol/rollout_messages.cpp
+++ b/src/protocol/rollout_messages.cpp
@@ -1,7 +1,12 @@
 #include "protocol/rollout_messages.hpp"
 
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "protocol/digest.hpp"
 #include "transport/frames.hpp"
 
 namespace thistle {
@@ -9,7 +14,7 @@
 using nlohmann::json;
 
 namespace {
-constexpr std::uint16_t kAbleVersion = 1;
+constexpr std::uint16_t kAbleVersion = 1, kTeamsVersion = 1;
 constexpr std::uint32_t kMostLevel = 1000000;
 
 template <class Read>
@@ -29,18 +34,20 @@
 }  // namespace
 
 std::string able_value(const Able& able) {
-  return json{{"least", able.least},
-              {"most", able.most},
-              {"wants", able.wants},
-              {"incarnation", able.incarnation},
-              {"build", able.build}}
-      .dump();
+  json j{{"least", able.least},
+         {"most", able.most},
+         {"wants", able.wants},
+         {"incarnation", able.incarnation},
+         {"build", able.build}};
+  if (able.teams != 0) j["teams"] = digest_text(able.teams);
+  return j.dump();
 }
 
 Able parse_able(std::string_view value) {
   return read(value, "roster", [](const json& j) {
     return Able{level_of(j, "least"), level_of(j, "most"), level_of(j, "wants"),
-                j.at("incarnation").get<std::uint64_t>(), j.at("build").get<std::string>()};
+                j.at("incarnation").get<std::uint64_t>(), j.at("build").get<std::string>(),
+                j.contains("teams") ? parse_digest(j.at("teams").get<std::string>()) : 0};
   });
 }
 
@@ -79,10 +86,37 @@
       .integer(able.most)
       .integer(able.wants)
       .integer(able.incarnation)
-      .text(able.build);
+      .text(able.build)
+      .integer(able.teams);
+  return p.take();
+}
+
+std::string pack(const std::map<std::string, TeamTerms>& teams) {
+  Packer p;
+  p.integer(kTeamsVersion).integer(static_cast<std::uint32_t>(teams.size()));
+  for (const auto& [name, t] : teams) {
+    p.text(name);
+    for (const double v : {t.guarantee.cores, t.guarantee.accelerators, t.limit.cores, t.limit.accelerators})
+      p.integer(std::bit_cast<std::uint64_t>(v));
+  }
   return p.take();
 }
 
+std::optional<std::map<std::string, TeamTerms>> unpack_teams(std::string_view packed) {
+  Unpacker u(packed);
+  if (u.integer<std::uint16_t>() != kTeamsVersion) return std::nullopt;
+  std::map<std::string, TeamTerms> out;
+  for (auto n = u.integer<std::uint32_t>(); n > 0 && u.ok(); --n) {
+    auto name = u.text();
+    double v[4] = {};
+    for (auto& x : v) x = std::bit_cast<double>(u.integer<std::uint64_t>());
+    if (std::any_of(std::begin(v), std::end(v), [](double x) { return !std::isfinite(x) || x < 0; })) return std::nullopt;
+    out[std::move(name)] = {{v[0], v[1], 0}, {v[2], v[3], 0}};
+  }
+  if (!u.done()) return std::nullopt;
+  return out;
+}
+
 std::optional<Able> unpack_able(std::string_view packed) {
   Unpacker u(packed);
   // What a later version has more stands behind these.
@@ -93,6 +127,7 @@
   able.wants = u.integer<std::uint32_t>();
   able.incarnation = u.integer<std::uint64_t>();
   able.build = u.text();
+  able.teams = u.integer<std::uint64_t>();
   if (!u.ok() || able.least < 1 || able.least > able.most || able.wants < 1 || able.wants > able.most)
     return std::nullopt;
   return able;
--- a/src/protocol/rollout_messages.hpp
+++ b/src/protocol/rollout_messages.hpp
@@ -2,6 +2,7 @@
 // switched on.
 #pragma once
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
   std::uint32_t wants = 1;            // the highest one that its operator lets it switch on
   std::uint64_t incarnation = 0;      // of the process
   std::string build;
+  std::uint64_t teams = 0;  // digest of the teams in its settings; 0: it does not say
   friend bool operator==(const Able&, const Able&) = default;
 };
 
@@ -60,5 +62,9 @@
 inline constexpr const char* kAbleTarget = "/levels";
 std::string pack(const Able& able);
 std::optional<Able> unpack_able(std::string_view packed);
+// The teams of a controller's settings, by name.
+inline constexpr const char* kTeamsTarget = "/teams";
+std::string pack(const std::map<std::string, TeamTerms>& teams);
+std::optional<std::map<std::string, TeamTerms>> unpack_teams(std::string_view packed);
 
 }  // namespace thistle
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -210,8 +210,21 @@
   JobStatus status = JobStatus::done;
   std::vector<std::string> uids;
 };
+// What a team is guaranteed and may use at most; 0: none. Memory is neither.
+struct TeamTerms {
+  Resources guarantee, limit;
+  friend bool operator==(const TeamTerms&, const TeamTerms&) = default;
+};
+// A team's terms, from state level 3 on.
+struct TeamRecord {
+  std::string name;
+  std::optional<TeamTerms> agreed;    // in force
+  std::optional<TeamTerms> proposed;  // by the settings of some controllers: narrows what is in force
+  bool leaving = false;               // in no settings any more: takes no jobs, and keeps its terms
+  friend bool operator==(const TeamRecord&, const TeamRecord&) = default;
+};
 using Record = std::variant<AcceptRecord, StartRecord, DoneRecord, OffRecord, CancelRecord, FlavorsRecord,
-                            JobRecord, EndedRecord>;
+                            JobRecord, EndedRecord, TeamRecord>;
 
 }  // namespace thistle
 
--- /dev/null
+++ b/tests/checker_test.cpp
@@ -0,0 +1,94 @@
+// The rig's checker finds each rule broken, and nothing where none is.
+#include "rig/checker.hpp"
+
+#include <gtest/gtest.h>
+
+namespace thistle::rig {
+namespace {
+
+class RigChecker : public testing::Test {
+ protected:
+  RigChecker() : checker({{"red", 3}}, 10) { checker.submitted({"j-1", "red", "batch", "x", 2, 2, 1}, 100); }
+  std::string first() const {
+    return checker.broken().empty() ? ""
+                                    : checker.broken().front().substr(0, checker.broken().front().find(':'));
+  }
+  Checker checker;
+};
+
+TEST_F(RigChecker, AWholeDayBreaksNothing) {
+  checker.told("j-1", "queued", 101);
+  checker.on("j-1", 0, "m-1", "x", 102);
+  checker.off("j-1", 0, "m-1", false, 103);
+  checker.on("j-1", 0, "m-2", "x", 104);
+  checker.off("j-1", 0, "m-2", true, 105);
+  checker.on("j-1", 1, "m-2", "x", 106);
+  checker.off("j-1", 1, "m-2", true, 107);
+  checker.told("j-1", "done", 108);
+  checker.told("j-2", "unknown", 109);
+  checker.tick(200);
+  EXPECT_EQ(first(), "");
+  EXPECT_EQ(checker.tasks_done(), 2u);
+}
+TEST_F(RigChecker, RanTwice) {
+  checker.on("j-1", 0, "m-1", "x", 102);
+  checker.on("j-1", 0, "m-2", "x", 104);
+  EXPECT_EQ(first(), "ran_twice");
+}
+TEST_F(RigChecker, Quota) {
+  checker.on("j-1", 0, "m-1", "x", 102);
+  checker.on("j-1", 1, "m-2", "x", 104);
+  EXPECT_EQ(first(), "quota");
+}
+TEST_F(RigChecker, QuotaUnderALoweredLimit) {
+  checker.limit("red", 4);
+  checker.on("j-1", 0, "m-1", "x", 102);
+  checker.limit("red", 1);
+  EXPECT_EQ(first(), "") << "what runs may run on";
+  checker.on("j-1", 1, "m-2", "x", 104);
+  EXPECT_EQ(first(), "quota");
+}
+TEST_F(RigChecker, WrongPlace) {
+  checker.on("j-1", 0, "m-1", "y", 102);
+  EXPECT_EQ(first(), "wrong_place");
+}
+TEST_F(RigChecker, RanCancelled) {
+  checker.on("j-1", 0, "m-1", "x", 102);
+  checker.wants_withdrawn("j-1");
+  checker.told("j-1", "aborted", 103);
+  checker.tick(112);
+  EXPECT_EQ(first(), "");
+  checker.tick(114);
+  EXPECT_EQ(first(), "ran_cancelled");
+}
+TEST_F(RigChecker, Forgotten) {
+  checker.told("j-1", "unknown", 101);
+  EXPECT_EQ(first(), "") << "it was not accepted yet";
+  checker.told("j-1", "queued", 102);
+  checker.told("j-1", "unknown", 103);
+  EXPECT_EQ(first(), "forgotten");
+}
+TEST_F(RigChecker, ForgottenWhereItsPollsFailAndOthersAreAnswered) {
+  checker.submitted({"j-2", "red", "batch", "", 1, 1, 1}, 100);
+  checker.told("j-1", "queued", 101);
+  for (double t = 102; t < 200; t += 0.5) {
+    checker.failed_poll("j-1", t);
+    checker.told("j-2", "queued", t);
+  }
+  EXPECT_EQ(first(), "forgotten");
+}
+TEST_F(RigChecker, WentBackInventedAndNotDone) {
+  checker.told("j-1", "aborted", 101);
+  EXPECT_EQ(first(), "went_back") << "nobody asked for it";
+  checker.told("j-7", "queued", 102);
+  checker.submitted({"j-3", "red", "batch", "", 1, 1, 1}, 100);
+  checker.told("j-3", "done", 103);
+  checker.told("j-3", "running", 104);
+  ASSERT_EQ(checker.broken().size(), 4u);
+  EXPECT_TRUE(checker.broken()[1].starts_with("invented"));
+  EXPECT_TRUE(checker.broken()[2].starts_with("not_done"));
+  EXPECT_TRUE(checker.broken()[3].starts_with("went_back"));
+}
+
+}  // namespace
+}  // namespace thistle::rig
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -78,6 +78,8 @@
     const auto at = text.find("\nthistlefront_" + name);
     return at == std::string::npos ? "" : text.substr(at + 1, text.find('\n', at + 1) - at - 1);
   }
+  // Of a controller, from its next start on.
+  Settings& settings(std::size_t i) { return settings_[i]; }
   std::string level() { return state.value(kLevelKey); }
 
   HttpResult ask(std::size_t node, const std::string& method, const std::string& path,
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -12,6 +12,7 @@
 Tuning soaking(double seconds) {
   Tuning t;
   t.state_level_soak_s = seconds;
+  t.state_level_reads = 2;
   return t;
 }
 Tuning older() {
@@ -167,6 +168,61 @@
   }
 }
 
+// The newest terms of a team in the ledger; nothing: none are there.
+std::optional<TeamRecord> team_in_ledger(Cluster& c, const std::string& name) {
+  std::optional<TeamRecord> out;
+  for (const auto& [key, value] : c.state.entries())
+    for (const auto& r : parse_entry(value).records)
+      if (const auto* t = std::get_if<TeamRecord>(&r); t && t->name == name) out = *t;
+  return out;
+}
+
+// A settings file with another limit and one team more, controller by controller, with takeovers in between.
+TEST(Rollout, ChangedTeamsComeIntoForceWhenAllControllersHaveThem) {
+  Tuning now;
+  now.state_level_soak_s = 0;
+  Cluster c(3, 1, {now});
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  ASSERT_TRUE(c.eventually(60, [&] { return team_in_ledger(c, "red").has_value(); }));
+  EXPECT_EQ(c.level(), R"({"level":3})");
+  const TeamTerms before = team_in_ledger(c, "red")->agreed.value();
+  const auto changed = [&](std::size_t i) {
+    c.settings(i).teams = {{"red", {}, {6, 0, 0}}, {"green", {}, {3, 0, 0}}};
+    c.start(i, now);
+  };
+  changed(0);
+  ASSERT_TRUE(c.eventually(30, [&] {
+    const auto red = team_in_ledger(c, "red");
+    return red->agreed == before && red->proposed && red->proposed->limit.cores == 6;
+  }));
+  ASSERT_TRUE(c.eventually(30, [&] { return team_in_ledger(c, "green").has_value(); }));
+  // Whoever leads, it is as the ledger says, for the team that is in one file only as well.
+  auto green = nlohmann::json::parse(testing_::job_body("j-20"));
+  green["owner"] = "green";
+  for (int i = 0; i < 2; ++i) {
+    c.state.end_holds();
+    green["uid"] = "j-2" + std::to_string(i);
+    EXPECT_TRUE(c.eventually(20, [&] { return c.ask(2, "POST", "/v1/jobs", green.dump()).is(201); })) << i;
+    EXPECT_EQ(team_in_ledger(c, "red")->agreed, before);
+    EXPECT_TRUE(team_in_ledger(c, "red")->proposed);
+  }
+  changed(1);
+  changed(2);
+  ASSERT_TRUE(c.eventually(40, [&] {
+    const auto red = team_in_ledger(c, "red");
+    return red->agreed->limit.cores == 6 && !red->proposed;
+  }));
+  // What needs more than the new limit can never run; a team that nobody has is refused for good.
+  auto large = nlohmann::json::parse(testing_::job_body("j-30"));
+  large["shape"] = "group";
+  large["pieces"] = 7;
+  EXPECT_TRUE(c.eventually(10, [&] { return c.ask(0, "POST", "/v1/jobs", large.dump()).is(422); }));
+  green["owner"] = "blue";
+  green["uid"] = "j-40";
+  EXPECT_TRUE(c.eventually(10, [&] { return c.ask(0, "POST", "/v1/jobs", green.dump()).is(422); }));
+  EXPECT_EQ(c.state.unfenced(), 0u);
+}
+
 std::string beyond(const std::string& entry) {
   auto j = nlohmann::json::parse(entry);
   j["records"].push_back({"from-the-future", 1});
--- a/tests/stored_test.cpp
+++ b/tests/stored_test.cpp
@@ -53,6 +53,14 @@
   const auto records = some_of_each_kind();
   EXPECT_EQ(stored_entry(records, {1, 0, 7, 0}), lines.at("level-1"));
   EXPECT_EQ(stored_entry(records, {2, 0, 7, 0x0123456789abcdef}), lines.at("level-2"));
+  const TeamTerms terms{{8, 0, 0}, {16, 4, 0}};
+  const std::vector<Record> teams{TeamRecord{"red", terms, std::nullopt, false},
+                                  TeamRecord{"blue", terms, TeamTerms{{8, 0, 0}, {12, 4, 0}}, false},
+                                  TeamRecord{"gone", terms, std::nullopt, true}};
+  EXPECT_EQ(stored_entry(teams, {3, 0, 8, 0x0123456789abcdef}), lines.at("level-3"));
+  const auto read = parse_entry(lines.at("level-3")).records;
+  for (std::size_t i = 0; i < teams.size(); ++i)
+    EXPECT_EQ(std::get<TeamRecord>(read.at(i)), std::get<TeamRecord>(teams[i]));
   for (const auto* name : {"level-1", "level-2"}) {
     const auto entry = parse_entry(lines.at(name));
     EXPECT_EQ(entry.seq, 7u);
@@ -72,10 +80,10 @@
   EXPECT_EQ(level_value({2, 0}), lines.at("lead-level"));
   EXPECT_EQ(level_value({2, 1}), lines.at("lead-level-lowering"));
   EXPECT_EQ(ready_value({2, 100.5}), lines.at("lead-ready"));
-  EXPECT_EQ(able_value({1, 2, 2, 42, "0.2.0"}), lines.at("roster"));
+  EXPECT_EQ(able_value({1, 2, 2, 42, "0.2.0", 0xab}), lines.at("roster"));
   EXPECT_EQ(parse_level(lines.at("lead-level-lowering")), (LevelOn{2, 1}));
   EXPECT_EQ(parse_ready(lines.at("lead-ready")), (Ready{2, 100.5}));
-  EXPECT_EQ(parse_able(lines.at("roster")), (Able{1, 2, 2, 42, "0.2.0"}));
+  EXPECT_EQ(parse_able(lines.at("roster")), (Able{1, 2, 2, 42, "0.2.0", 0xab}));
   // What a later build has more is passed over.
   EXPECT_EQ(parse_level(R"({"level":2,"towards":1,"why":"x"})"), (LevelOn{2, 1}));
   for (const auto* bad : {"{}", R"({"level":0})", R"({"level":"2"})", "2", "[", R"({"level":-1})"})
@@ -100,11 +108,16 @@
   HttpReply reply{200, "{}"};
   reply.valid_until = 12.5;
   EXPECT_EQ(hex(pack(reply, 10)), lines.at("reply"));
-  const auto able = pack(Able{1, 2, 2, 42, "0.2.0"});
+  const auto able = pack(Able{1, 2, 2, 42, "0.2.0", 0xab});
   EXPECT_EQ(hex({0, able}), lines.at("able"));
-  EXPECT_EQ(unpack_able(able), (Able{1, 2, 2, 42, "0.2.0"}));
-  EXPECT_EQ(unpack_able(able + "more"), (Able{1, 2, 2, 42, "0.2.0"})) << "of a later version";
+  EXPECT_EQ(unpack_able(able), (Able{1, 2, 2, 42, "0.2.0", 0xab}));
+  EXPECT_EQ(unpack_able(able + "more"), (Able{1, 2, 2, 42, "0.2.0", 0xab})) << "of a later version";
   for (std::size_t cut = 0; cut < able.size(); ++cut) EXPECT_FALSE(unpack_able(able.substr(0, cut))) << cut;
+  const std::map<std::string, TeamTerms> teams{{"red", {{8, 0.5, 0}, {16, 4, 0}}}, {"blue", {}}};
+  const auto packed = pack(teams);
+  EXPECT_EQ(hex({0, packed}), lines.at("teams"));
+  EXPECT_EQ(unpack_teams(packed), teams);
+  for (std::size_t cut = 0; cut < packed.size(); ++cut) EXPECT_FALSE(unpack_teams(packed.substr(0, cut))) << cut;
 }
 
 // A flipped bit, an older version of an entry, a missing one: each is told, with its place.
