--- a/src/bookkeeping/accounts.cpp
+++ b/src/bookkeeping/accounts.cpp
@@ -54,6 +54,12 @@
   return !t.unknown && (agreed_ ? t.record && !t.record->leaving : true);
 }
 
+void Accounts::at_least(TeamIdx team, const Resources& used) {
+  Resources& now = teams_[team.v].used;
+  now.cores = std::max(now.cores, used.cores);
+  now.accelerators = std::max(now.accelerators, used.accelerators);
+}
+
 void Accounts::clear_unplaced() {
   for (auto& t : teams_) t.unplaced = {};
 }
--- a/src/bookkeeping/accounts.hpp
+++ b/src/bookkeeping/accounts.hpp
@@ -37,6 +37,7 @@
 
   void take(TeamIdx team, const Resources& need) { teams_[team.v].used += need; }
   void give(TeamIdx team, const Resources& need) { teams_[team.v].used -= need; }
+  void at_least(TeamIdx team, const Resources& used);
   // What workers report beside what is placed, by team, counted anew for each pass.
   void clear_unplaced();
   void add_unplaced(TeamIdx team, const Resources& need) { teams_[team.v].unplaced += need; }
--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -1,6 +1,7 @@
 #include "bookkeeping/book.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace thistle {
 
@@ -26,6 +27,20 @@
   return after > wall && after < wall + 2 * skew_s + slack ? after : wall;
 }
 
+std::vector<std::string> Book::correct_accounts() {
+  constexpr double slack = 1e-3;  // sums of decimals drift
+  std::vector<std::string> out;
+  const auto counted = recount();
+  for (std::uint32_t t = 0; t < counted.size(); ++t) {
+    const Team& team = accounts_.team(TeamIdx{t});
+    const auto differs = [](double a, double b) { return std::abs(a - b) > slack; };
+    if (differs(team.used.cores, counted[t].cores) || differs(team.used.accelerators, counted[t].accelerators))
+      out.push_back(team.name);
+    accounts_.at_least(TeamIdx{t}, counted[t]);
+  }
+  return out;
+}
+
 void Book::count_unplaced() {
   accounts_.clear_unplaced();
   for (std::uint32_t i = 0; i < hosts_.size(); ++i) {
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -149,6 +149,8 @@
   [[nodiscard]] const std::vector<Team>& teams() const { return accounts_.teams(); }
   // What is used by each team, counted from the placements: the accounts must say the same.
   [[nodiscard]] std::vector<Resources> recount() const;
+  // Where an account says less, it says as much from then on; the teams concerned.
+  std::vector<std::string> correct_accounts();
   // Counts what workers report and the book places nowhere against its team.
   void count_unplaced();
   // When a job that is accepted now (wall seconds) counts as accepted: after all that are, so that a team's jobs have the
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <system_error>
 
+#include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
@@ -11,6 +12,8 @@
 namespace thistle {
 
 namespace {
+constexpr double kLongWait = 60.0;     // seconds without a start: told
+constexpr double kWaitsPeriod = 30.0;  // seconds between looks at what waits
 constexpr double kCloudTimeout = 5.0;
 constexpr double kFlavorsPeriod = 120.0;
 constexpr double kRefusedPause = 20.0;      // after "no capacity"
@@ -251,9 +254,20 @@
 void Controller::watch_starts() {
   Lock lock(mutex_);
   const double now = steady_now();
-  if (!decisive() || !start_watch_.tell(now)) return;
-  spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}", start_watch_.stalled(now),
-               queue_.size(), store_failing_since_ != 0 ? "fail" : "go through");
+  if (!decisive()) return;
+  if (start_watch_.tell(now))
+    spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}",
+                 start_watch_.stalled(now), queue_.size(), store_failing_since_ != 0 ? "fail" : "go through");
+  if (now - waits_told_at_ < kWaitsPeriod) return;
+  waits_told_at_ = now;
+  for (const auto& w : what_waits(*term_->book, wall_now()))
+    if (w.unstarted_s > kLongWait)
+      spdlog::info("team {}, class {}: {} tasks wait for {}, the oldest job of which nothing has run for {:.0f} s", w.team,
+                   w.job_class, w.tasks, name_of(w.what), w.unstarted_s);
+  const auto amiss = term_->book->correct_accounts();
+  counters_.amiss += amiss.size();
+  for (const auto& team : amiss)
+    spdlog::error("team {}: its account is not what is placed; the larger figure holds", team);
 }
 
 // Cut from the workers only, it keeps its hold and its peers: reports reach it by way of them, its commands fail, and
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -188,8 +188,10 @@
   // Machines that matter, and since when each is silent.
   std::vector<HeardOf> heard_of(double now) const;
   bool hears_workers() const;
-  // Tells the operator when work that fits does not start for long.
+  // Tells the operator when work that fits does not start for long, what waits for long and for what, and when the accounts
+  // of teams do not agree with a count of what is placed.
   void watch_starts();
+  double waits_told_at_ = 0;  // steady seconds
   // A leader that the workers can't reach, while other controllers can, hands over.
   void watch_workers();
   struct Probe {
@@ -284,7 +286,7 @@
 
   struct Counters {
     std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0}, kept{0},
-        commits{0}, writes{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0};
+        commits{0}, writes{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0}, amiss{0};
     std::atomic<double> pass_seconds{0}, commit_seconds{0};
   } counters_;
 
--- a/src/coordination/dealings.cpp
+++ b/src/coordination/dealings.cpp
@@ -280,6 +280,26 @@
   return {touched.begin(), touched.end()};
 }
 
+std::vector<HostIdx> go_on_with_stops(Book& book) {
+  std::set<HostIdx> touched;
+  for (JobIdx j : book.live()) {
+    Job& job = book.job(j);
+    // Only what saves at all can be found saving.
+    if (job.spec.snapshot_every_s <= 0 || job.ended()) continue;
+    const auto begun = [](const auto& placed) {
+      const Placement& p = placed.second;
+      return p.seen && p.phase == Phase::saving && !p.stopping && !p.closing;
+    };
+    if (std::none_of(job.placed.begin(), job.placed.end(), begun)) continue;
+    for (auto& placed : job.placed) {
+      if (placed.second.stopping || (job.spec.shape != Shape::group && !begun(placed))) continue;
+      stop_task(placed.second, job.spec.snapshot_s);
+      touched.insert(placed.second.host);
+    }
+  }
+  return {touched.begin(), touched.end()};
+}
+
 bool stop_broken_gangs(Book& book) {
   bool any = false;
   for (JobIdx j : book.live()) {
--- a/src/coordination/dealings.hpp
+++ b/src/coordination/dealings.hpp
@@ -52,6 +52,11 @@
 // time starts again elsewhere. Returns the hosts that have something to stop.
 std::vector<HostIdx> drain_recalled(Book& book, Moment now);
 
+// Tasks that save though this leader stops none of them: an earlier one did, to make room. That goes on, for a gang with all
+// of its tasks, and their room counts as coming free; a successor that took them for running stopped others for the same
+// need, and tore gangs whose stop was half told. Returns the hosts that have something to stop.
+std::vector<HostIdx> go_on_with_stops(Book& book);
+
 // Gangs that lost a task are stopped, so that they can be planned anew.
 bool stop_broken_gangs(Book& book);
 
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -323,6 +323,7 @@
   }
   std::set<HostIdx> touched;
   for (auto h : drain_recalled(book, {steady, wall})) touched.insert(h);
+  for (auto h : go_on_with_stops(book)) touched.insert(h);
   if (stop_broken_gangs(book)) {
     for (JobIdx j : book.live())
       for (const auto& [task, p] : book.job(j).placed)
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
 #include "transport/clock.hpp"
 
@@ -385,6 +386,20 @@
     line("live_jobs", term_->book->live().size());
     line("waiting_tasks", waiting);
     line("placed_tasks", placed);
+    for (const auto& w : what_waits(*term_->book, wall_now())) {
+      const std::string of = "{team=\"" + w.team + "\",class=\"" + w.job_class + "\",for=\"" + name_of(w.what) + "\"}";
+      line(("waiting_tasks_by" + of).c_str(), w.tasks);
+      line(("unstarted_seconds" + of).c_str(), w.unstarted_s);
+    }
+    for (const auto& t : term_->book->teams()) {
+      const std::string of = "{team=\"" + t.name + "\"}";
+      line(("team_cores_used" + of).c_str(), t.used.cores);
+      line(("team_cores_unplaced" + of).c_str(), t.unplaced.cores);
+      line(("team_cores_limit" + of).c_str(), t.limit.cores);
+      line(("team_accelerators_used" + of).c_str(), t.used.accelerators);
+      line(("team_accelerators_limit" + of).c_str(), t.limit.accelerators);
+    }
+    line("accounts_amiss_total", counters_.amiss.load());
   }
   accept_waits_.print(out, "thistlefront_accept_seconds", "");
   pass_times_.print(out, "thistlefront_pass_seconds", "");
--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "bookkeeping/agreement.hpp"
+#include "bookkeeping/waiting.hpp"
 #include "jobs.hpp"
 
 namespace thistle {
@@ -199,5 +200,45 @@
       << "a clock that was hours ahead once does not bend all that follow";
 }
 
+TEST(Accounts, WhatWaitsIsToldWithItsReason) {
+  Book book({Team{"red", {}, {2, 0, 0}}, Team{"blue", {}, {0, 0, 0}}});
+  const auto accept = [&](const std::string& uid, const std::string& team, std::uint32_t pieces, double at) {
+    auto s = submission(uid, pieces, 1);
+    s.owner = team;
+    book.apply(AcceptRecord{s, 0.5, at});
+  };
+  accept("j-1", "red", 4, 10);
+  accept("j-2", "blue", 1, 20);
+  accept("j-3", "blue", 1, 30);
+  accept("j-4", "green", 2, 40);
+  const auto line = [&](std::size_t i) {
+    const auto w = what_waits(book, 100).at(i);
+    return w.team + " " + std::to_string(w.tasks) + " " + name_of(w.what) + " " +
+           std::to_string(static_cast<int>(w.unstarted_s));
+  };
+  EXPECT_EQ(line(0), "blue 2 room 80");
+  EXPECT_EQ(line(1), "green 2 terms 60");
+  EXPECT_EQ(line(2), "red 4 room 90");
+  book.apply(StartRecord{"j-1", 1, 50, {{"m-1", 1, {{0, 2}}}}});
+  book.apply(StartRecord{"j-2", 1, 50, {{"m-1", 1, {{0, 1}}}}});
+  EXPECT_EQ(line(0), "blue 1 room 70");
+  EXPECT_EQ(line(2), "red 2 limit 0");
+}
+
+// The larger figure holds, and it is told.
+TEST(Accounts, AnAccountThatSaysLessThanIsPlacedIsCorrected) {
+  Book book = book_of_red(10);
+  book.apply(AcceptRecord{submission("j-1", 3, 1), 0.5, 1});
+  book.apply(StartRecord{"j-1", 1, 2, {{"m-1", 1, {{0, 3}}}}});
+  EXPECT_TRUE(book.correct_accounts().empty());
+  const TeamIdx red = book.accounts().find("red");
+  book.accounts().give(red, {2, 0, 0});
+  EXPECT_EQ(book.correct_accounts(), std::vector<std::string>{"red"});
+  EXPECT_EQ(book.teams()[0].used.cores, 3);
+  book.accounts().take(red, {2, 0, 0});
+  EXPECT_EQ(book.correct_accounts(), std::vector<std::string>{"red"});
+  EXPECT_EQ(book.teams()[0].used.cores, 5) << "never under";
+}
+
 }  // namespace
 }  // namespace thistle
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -166,6 +166,31 @@
   EXPECT_TRUE(job("j-1").placed.at(0).stopping);
 }
 
+// A leader ended while it stopped a gang to make room: its successor stops the rest of it in order, and counts on the room.
+TEST_F(Dealings, StopsThatAnEarlierLeaderBeganGoOn) {
+  accept("j-1", 2, Shape::group);
+  accept("j-2", 2);
+  for (const auto* uid : {"j-1", "j-2"}) {
+    job(uid).spec.snapshot_every_s = 30;
+    job(uid).spec.snapshot_s = 4;
+    start(uid, 1, {0, 2});
+  }
+  report({piece("j-1", 0, 1, Phase::running), piece("j-1", 1, 1, Phase::running), piece("j-2", 0, 1, Phase::running),
+          piece("j-2", 1, 1, Phase::running)});
+  EXPECT_TRUE(go_on_with_stops(book).empty());
+  report({piece("j-1", 0, 1, Phase::saving), piece("j-1", 1, 1, Phase::running), piece("j-2", 0, 1, Phase::saving),
+          piece("j-2", 1, 1, Phase::running)});
+  EXPECT_EQ(go_on_with_stops(book).size(), 1u);
+  EXPECT_TRUE(job("j-1").placed.at(0).stopping);
+  EXPECT_TRUE(job("j-2").placed.at(0).stopping);
+  EXPECT_FALSE(job("j-2").placed.at(1).stopping) << "the tasks of an array are stopped one by one";
+  ASSERT_EQ(orders().size(), 1u);
+  EXPECT_EQ(orders()[0].verb, Verb::kill);
+  EXPECT_EQ(orders()[0].id.uid + "/" + std::to_string(orders()[0].id.task), "j-1/1");
+  EXPECT_EQ(orders()[0].wind_down_s, 4);
+  EXPECT_TRUE(go_on_with_stops(book).empty()) << "once";
+}
+
 TEST_F(Dealings, ARecalledMachineIsDrained) {
   accept("j-1", 1, Shape::service);
   accept("j-2", 1);
--- a/tests/rewriter_test.cpp
+++ b/tests/rewriter_test.cpp
@@ -128,6 +128,7 @@
       }
       ledger.commit(book, records);
       if (testing::Test::HasFatalFailure()) return;
+      ASSERT_TRUE(book.correct_accounts().empty()) << "the accounts are not what is placed, seed " << seed;
       if (some(3) == 0) {
         Tail found;
         expect_same(ledger.read(found, ledger.tail.level()), book, seed);
