--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -15,10 +15,12 @@
 #include "bookkeeping/agreement.hpp"
 #include "bookkeeping/book.hpp"
 #include "coordination/budget.hpp"
+#include "coordination/counters.hpp"
 #include "coordination/custody.hpp"
 #include "coordination/dealings.hpp"
 #include "coordination/due_workers.hpp"
 #include "coordination/histograms.hpp"
+#include "coordination/peer_link.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
 #include "coordination/silence.hpp"
@@ -39,6 +41,8 @@
 
 namespace thistle {
 
+class RosterView;
+
 class Controller {
  public:
   Controller(Settings settings, Tuning tuning);
@@ -94,7 +98,6 @@
   void lead(StoreClient& store, std::stop_token stop);
   void peer_duty(std::stop_token stop, std::size_t peer);
   void note_acks();
-  struct PeerLink;
   Beat beat_for(PeerLink& link);
   // How long ago the oldest cancellation was made that is not yet carried out in this zone.
   double owed_in(const std::string& site) const;
@@ -129,15 +132,10 @@
   // ---- roll-outs (rollout.cpp)
   void rollout_duty(std::stop_token stop);
   // The next step towards another state level, or changed terms of teams; whether there was one.
-  bool plan_step(StoreClient& store, std::stop_token stop);
-  // What peers answer when asked for their levels; one that does not answer is left out.
-  std::map<std::string, Able> ask_peers(std::stop_token stop);
+  bool plan_step(RosterView& view, StoreClient& store, std::stop_token stop);
   // Sends the step that is due and takes in what came of it.
   bool take_step(StoreClient& store, std::stop_token stop, Lock& lock);
   void adopt_level(const LevelOn& on, std::uint64_t stamp);
-  // The teams in the settings of every controller, as far as they are known.
-  std::map<std::string, std::optional<TeamsFile>> teams_of_all(const rollout::Roster& roster,
-                                                               const std::vector<std::string>& expected);
   // Brings changed terms of teams into the ledger; whether there were any.
   bool agree_on_teams(Lock& lock, const std::map<std::string, std::optional<TeamsFile>>& files);
   // Users are waiting for some records; others can wait a moment and join the next commit, so that many ends cost few
@@ -209,7 +207,6 @@
   const std::uint64_t incarnation_;
   const TeamsFile teams_file_;  // the teams of its settings
   const Able able_;             // state levels of this process
-  std::map<std::uint64_t, TeamsFile> teams_files_;  // of other controllers, by digest; used by the roll-out's duty alone
 
   mutable std::mutex mutex_;
   Role role_ = Role::follower;
@@ -271,24 +268,10 @@
   };
   std::optional<RentalRequest> rental_;  // made and not answered; used by the cloud's duty alone
 
-  struct PeerLink {
-    Settings::Peer peer;
-    std::unique_ptr<FramePool> calls;  // users' requests and reports, when the peer leads
-    std::unique_ptr<FramePool> beats;
-    std::uint64_t acked_epoch = 0;
-    Granted granted;
-    std::uint64_t marked_by = 0, mark = 0;  // of its latest answer in this term
-    double marked_sent_at = 0;              // steady seconds: when the beat was sent that it answered so
-    double answered_at = 0;  // steady seconds
-  };
   std::vector<PeerLink> links_;
   Custody custody_;
 
-  struct Counters {
-    std::atomic<std::uint64_t> accepted{0}, refused{0}, unavailable{0}, started{0}, finished{0}, preempted{0}, passes{0}, kept{0},
-        commits{0}, writes{0}, reports{0}, suspected{0}, set_aside{0}, handed_over{0}, amiss{0};
-    std::atomic<double> pass_seconds{0}, commit_seconds{0};
-  } counters_;
+  Counters counters_;
 
   // Of what this controller did as a leader. Classes that no aim names are counted together.
   void note_starts(const StartRecord& start);
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -2,9 +2,8 @@
 // level.
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 #include "coordination/controller.hpp"
+#include "coordination/roster_view.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -13,101 +12,57 @@
 namespace {
 constexpr double kLookPeriod = 5.0;  // seconds between looks at the roster
 constexpr double kSoonAgain = 1.0;
-constexpr double kAskTimeout = 1.0;
 constexpr double kAgain = 0.2;
 }  // namespace
 
 void Controller::rollout_duty(std::stop_token stop) {
   StoreClient store(settings_.state);
   std::stop_callback abort(stop, [&] { store.abort(); });
-  const std::string key = kRosterPrefix + settings_.label;
+  std::vector<FramePool*> pools;
+  for (auto& link : links_) pools.push_back(link.calls.get());
+  RosterView view(settings_, able_, teams_file_, std::move(pools));
   // Before anything else its own record: a switch is conditional on what it says.
-  for (bool listed = false; !listed;) {
-    Row row;
-    const auto got = store.get(key, row);
-    if (got == StoreStatus::ok || got == StoreStatus::missing) {
-      rollout::Known known;
-      if (got == StoreStatus::ok) known = rollout::roster_of({row}).at(settings_.label);
-      const auto step = rollout::enlist(settings_.label, able_, got == StoreStatus::ok ? &known : nullptr);
-      std::uint64_t rev = 0;
-      std::vector<std::string> failed;
-      // Without an answer the record is looked at once more.
-      listed =
-          step.kind == rollout::Step::Kind::none || store.txn(step.body(), rev, failed) == StoreStatus::ok;
-      if (listed)
-        spdlog::info("build {}: state levels {} to {}, at most {} to be switched on", able_.build,
-                     able_.least, able_.most, able_.wants);
-    }
-    if (!listed && !pause_for(stop, kSoonAgain)) return;
-  }
+  if (!view.enlist(store, stop)) return;
   while (!stop.stop_requested()) {
     {
       Lock lock(mutex_);
       role_changed_.wait(lock, stop, [&] { return role_ == Role::leading; });
       if (stop.stop_requested()) return;
     }
-    const bool stepped = plan_step(store, stop);
+    const bool stepped = plan_step(view, store, stop);
     if (!pause_for(stop, stepped ? kSoonAgain : kLookPeriod)) return;
   }
 }
 
-std::map<std::string, Able> Controller::ask_peers(std::stop_token stop) {
-  std::map<std::string, Able> out;
-  for (auto& link : links_) {
-    if (stop.stop_requested()) break;
-    const double asked = steady_now();
-    const auto answer = link.calls->ask(pack(PeerCall{"GET", kAbleTarget, ""}), kAskTimeout);
-    const auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
-    if (!reply) continue;
-    // Another answer than one of 200 is that of a build from before levels.
-    const auto able = reply->status == 200 ? unpack_able(reply->body) : std::optional<Able>(Able{});
-    if (able) out[link.peer.label] = *able;
-  }
-  return out;
-}
-
-bool Controller::plan_step(StoreClient& store, std::stop_token stop) {
-  Rows keys, records;
+bool Controller::plan_step(RosterView& view, StoreClient& store, std::stop_token stop) {
   std::uint64_t number = 0;
   {
     Lock lock(mutex_);
     number = term_number_;
   }
-  // The roster first, then the peers themselves: an answer is newer than the record that it corrects, and a
-  // record written in between makes the correction fail.
-  if (store.rows(kLeadPrefix, keys) != StoreStatus::ok ||
-      store.rows(kRosterPrefix, records) != StoreStatus::ok)
-    return false;
-  const auto answers = ask_peers(stop);
-  const auto roster = rollout::roster_of(records.rows);
-  rollout::Look look;
-  try {
-    look = rollout::look(keys.rows);
-  } catch (const std::exception& e) {
-    spdlog::error("state service: the leader's keys: {}", e.what());
-    return false;
-  }
-  std::vector<std::string> expected{settings_.label};
-  for (const auto& p : settings_.peers) expected.push_back(p.label);
-  // Controllers that the settings count and do not name.
-  while (expected.size() < settings_.count) expected.push_back("unnamed-" + std::to_string(expected.size()));
-  const auto files = teams_of_all(roster, expected);
+  const auto seen = view.look(store, stop);
+  if (!seen) return false;
+  const auto& look = seen->look;
   Lock lock(mutex_);
   if (term_number_ != number || !decisive() || term_->step || look.leader_stamp != term_->epoch) return false;
-  // A change of its own that came late. Found by reading: with what it knew of its entries it could have lowered a ledger
-  // that was not written anew.
+  // A change of its own that came late. Found by reading: with what it knew of its entries it could have
+  // lowered a ledger that was not written anew.
   if (look.on != term_->level) {
     step_down(lock, "the state level is another one than it knows");
     return false;
   }
-  rollout::Leading leading{
-      {settings_.label, incarnation_}, term_->epoch, term_->hold, term_->level, term_->tail.old_entries(), {}};
+  rollout::Leading leading{{settings_.label, incarnation_},
+                           term_->epoch,
+                           term_->hold,
+                           term_->level,
+                           term_->tail.old_entries(),
+                           {}};
   if (const auto team = term_->book->accounts().changing(); team && teams_at(look.on.level))
     leading.no_older_form = "the terms of team " + *team;
   if (term_->tail.generation() != 0)
     leading.no_older_form = "generation " + std::to_string(term_->tail.generation());
-  auto step = rollout::next_step(look, roster, expected, answers, leading,
-                                 wall_now(), tuning_.state_level_soak_s);
+  auto step = rollout::next_step(look, seen->roster, view.expected(), seen->answers, leading, wall_now(),
+                                 tuning_.state_level_soak_s);
   if (step.changes() > settings_.txn_ops) {
     step = {};
     step.waits_for = "transactions of more changes than the state service allows";
@@ -117,49 +72,24 @@
     if (!step.waits_for.empty())
       spdlog::info("state level {} is on; for another one it waits for: {}", look.on.level, step.waits_for);
   }
-  if (step.kind == rollout::Step::Kind::none) return agree_on_teams(lock, files);
+  if (step.kind == rollout::Step::Kind::none) return agree_on_teams(lock, seen->files);
   term_->step = std::move(step);
   queue_filled_.notify_all();
   return true;
 }
 
-std::map<std::string, std::optional<TeamsFile>> Controller::teams_of_all(const rollout::Roster& roster,
-                                                                         const std::vector<std::string>& expected) {
-  std::map<std::string, std::optional<TeamsFile>> out;
-  std::map<std::uint64_t, TeamsFile> seen;
-  for (const auto& label : expected) {
-    auto& file = out[label];
-    const auto it = roster.find(label);
-    const auto digest = label == settings_.label ? able_.teams : it == roster.end() ? 0 : it->second.able.teams;
-    if (digest == able_.teams) {
-      file = teams_file_;
-    } else if (const auto known = teams_files_.find(digest); known != teams_files_.end()) {
-      file = known->second;
-    } else if (digest != 0) {
-      const auto link = std::find_if(links_.begin(), links_.end(), [&](const PeerLink& l) { return l.peer.label == label; });
-      if (link == links_.end()) continue;
-      const double asked = steady_now();
-      const auto answer = link->calls->ask(pack(PeerCall{"GET", kTeamsTarget, ""}), kAskTimeout);
-      const auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
-      auto teams = reply && reply->status == 200 ? unpack_teams(reply->body) : std::nullopt;
-      if (teams && digest_of(*teams) == digest) file = std::move(teams);
-    }
-    if (file && digest != able_.teams) seen[digest] = *file;
-  }
-  teams_files_ = std::move(seen);
-  return out;
-}
-
 bool Controller::agree_on_teams(Lock&, const std::map<std::string, std::optional<TeamsFile>>& files) {
   if (!teams_at(term_->tail.level()) || term_->level.towards != 0) return false;
   auto changed = next_agreement(term_->book->accounts(), teams_file_, files);
   if (changed.empty()) return false;
   std::vector<Record> records;
   for (auto& r : changed) {
-    spdlog::info("team {}: {}", r.name,
-                 r.leaving    ? "in no settings any more, keeps its terms for the jobs that it has"
-                 : r.proposed ? "controllers differ; the lower limit and the higher guarantee hold until all have the same"
-                              : "its terms are in force, the same on all controllers");
+    spdlog::info(
+        "team {}: {}", r.name,
+        r.leaving ? "in no settings any more, keeps its terms for the jobs that it has"
+        : r.proposed
+            ? "controllers differ; the lower limit and the higher guarantee hold until all have the same"
+            : "its terms are in force, the same on all controllers");
     records.emplace_back(std::move(r));
   }
   enqueue(std::move(records));
--- /dev/null
+++ b/src/coordination/roster_view.hpp
@@ -0,0 +1,52 @@
+// What a leader looks at before a step of a roll-out: the keys of the lead, the roster, and the peers
+// themselves.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/agreement.hpp"
+#include "coordination/store_client.hpp"
+#include "protocol/settings.hpp"
+#include "rollout/levels.hpp"
+#include "transport/frames.hpp"
+
+namespace thistle {
+
+class RosterView {
+ public:
+  // `pools`: connections to the peers, in the order of the settings; they outlive this.
+  RosterView(const Settings& settings, Able able, TeamsFile file, std::vector<FramePool*> pools);
+
+  // Writes this controller's own record, and tries again until it is there; false when asked to stop.
+  bool enlist(StoreClient& store, std::stop_token stop) const;
+
+  struct Seen {
+    rollout::Look look;
+    rollout::Roster roster;
+    std::map<std::string, Able> answers;                    // of the peers that answered
+    std::map<std::string, std::optional<TeamsFile>> files;  // of all controllers; nullopt: not known
+  };
+  // Nothing where the state service did not answer.
+  std::optional<Seen> look(StoreClient& store, std::stop_token stop);
+  // All controllers of the settings, by label; those that it counts and does not name have names of their
+  // own.
+  [[nodiscard]] const std::vector<std::string>& expected() const { return expected_; }
+
+ private:
+  static std::optional<HttpReply> ask(FramePool& peer, const char* target);
+  std::map<std::string, Able> ask_peers(std::stop_token stop) const;
+  std::map<std::string, std::optional<TeamsFile>> files_of_all(const rollout::Roster& roster);
+
+  const Settings& settings_;
+  const Able able_;
+  const TeamsFile file_;
+  std::vector<FramePool*> pools_;
+  std::vector<std::string> expected_;
+  std::map<std::uint64_t, TeamsFile> files_;  // of other controllers, by digest
+};
+
+}  // namespace thistle
