--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -21,6 +21,9 @@
 
 constexpr double kLease = 8, kReport = 1, kAnswerLife = 4, kCancel = 15, kStep = 0.05;
 constexpr double kTeamLimit = 10;
+// On days with several teams; their limits change, and the last one comes only when a record tells its terms.
+const std::map<std::string, double> kTeams{{"red", 7}, {"blue", 4}, {"green", 3}, {"late", 0}};
+constexpr double kSettles = 25;  // after a lowered limit, what was decided or ran before may run on
 
 struct Event {
   double at;
@@ -31,7 +34,10 @@
 
 class Day {
  public:
-  explicit Day(std::uint64_t seed, bool cuts = false) : random_(seed), cuts_(cuts) {
+  explicit Day(std::uint64_t seed, bool cuts = false, bool teams = false) : random_(seed), cuts_(cuts), teams_(teams) {
+    for (const auto& [team, limit] : kTeams) limits_[team] = {{0, limit}};
+    if (teams_)
+      for (double t = 20; t < 150; t += 30) at(t, [this] { change_limits(); });
     for (int i = 0; i < 5; ++i) {
       workers_.emplace_back().name = "m-" + std::to_string(i);
       workers_.back().zone = i < 3 ? "x" : "y";
@@ -115,7 +121,7 @@
 
   struct Leader {
     Leader(Day& d, std::uint64_t e, bool old_lingers)
-        : day(d), book({{"red", {}, {kTeamLimit, 0, 0}, {}}}), epoch(e), takeover(e), taken_at(d.now_) {
+        : day(d), book(d.settings()), epoch(e), takeover(e), taken_at(d.now_) {
       for (const auto& r : d.ledger_) book.apply(r);
       acked_at = old_lingers || d.now_ < d.old_until_ ? -1 : d.now_;
       granted = d.cuts_ ? Granted(custody_span(kCancel, kLease), taken_at) : Granted();
@@ -180,11 +186,14 @@
     // First fit, within the team's limit; the planner has tests of its own.
     void start() {
       if (starting > 0) return;
-      double room = kTeamLimit - book.teams()[0].used.cores;
+      book.count_unplaced();
+      std::vector<double> rooms;
+      for (std::uint32_t t = 0; t < book.teams().size(); ++t) rooms.push_back(book.accounts().left(TeamIdx{t}, 1e9).cores);
       std::map<std::uint32_t, double> taken;
       for (JobIdx j : std::vector<JobIdx>(book.live())) {
         const Job& job = book.job(j);
         if (job.ended() || job.waiting == 0 || book.blame().not_before(j) > day.now_) continue;
+        double& room = rooms[job.team.v];
         const bool suspect = book.blame().suspect(j);
         if (suspect && !job.placed.empty()) continue;
         if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
@@ -282,16 +291,53 @@
     });
   }
 
+  [[nodiscard]] std::vector<Team> settings() const {
+    if (!teams_) return {{"red", {}, {kTeamLimit, 0, 0}}};
+    std::vector<Team> out;
+    for (const auto& [team, limit] : kTeams)
+      if (limit > 0) out.push_back({team, {}, {limit, 0, 0}});
+    return out;
+  }
+  // The highest that was in force lately.
+  [[nodiscard]] double limit_of(const std::string& team) const {
+    if (!teams_) return kTeamLimit;
+    double most = 0;
+    const auto& changes = limits_.at(team);
+    for (auto it = changes.begin(); it != changes.end(); ++it)
+      if (std::next(it) == changes.end() || std::next(it)->first > now_ - kSettles) most = std::max(most, it->second);
+    return most;
+  }
+  // A leader brings other terms into the ledger; what is told of them holds when they are there.
+  void change_limits() {
+    std::vector<Record> records;
+    std::map<std::string, double> next;
+    for (const auto& [team, limit] : kTeams) {
+      next[team] = 2 + static_cast<double>(random_() % 6);
+      records.emplace_back(TeamRecord{team, TeamTerms{{}, {next[team], 0, 0}}, std::nullopt, false});
+    }
+    // One that ended meanwhile may have written them all the same, and nobody was told: the higher holds.
+    for (const auto& [team, limit] : next) limits_[team].emplace(now_, std::max(limit, limits_[team].rbegin()->second));
+    leader_->record(std::move(records), [this, next] {
+      for (const auto& [team, limit] : next) limits_[team][now_] = limit;
+    });
+    at(now_ + 6, [this] {
+      for (const auto& [team, changes] : limits_)
+        if (!leader_->book.accounts().find(team).valid() || !leader_->book.accounts().open(leader_->book.accounts().find(team)))
+          return change_limits();
+    });
+  }
+
   void submit(int i) {
     AcceptRecord r;
     r.job.uid = "j-" + std::to_string(i);
-    r.job.owner = "red";
+    r.job.owner = teams_ ? std::next(kTeams.begin(), i % 4)->first : "red";
     r.job.job_class = "c";
     r.job.bundle = "i";
     r.job.shape = i % 4 == 3 ? Shape::group : Shape::batch;
     r.job.pieces = r.job.shape == Shape::group ? 2 : 4;
     r.job.need = {1, 0, 1};
     const std::string uid = r.job.uid;
+    owner_of_[uid] = r.job.owner;
     const auto known = leader_->book.find(uid);
     if (known.valid()) {
       accepted(i, r);
@@ -456,10 +502,11 @@
         w.pieces.erase(it);
       }
     }
-    double used = 0;
+    std::map<std::string, double> used;
     for (auto& other : workers_)
-      for (const auto& [k, p] : other.pieces) used += holds(other) && p.phase != Phase::exited;
-    if (used > kTeamLimit) broken.push_back("quota: " + std::to_string(used));
+      for (const auto& [k, p] : other.pieces) used[owner_of_[std::get<0>(k)]] += holds(other) && p.phase != Phase::exited;
+    for (const auto& [team, cores] : used)
+      if (cores > limit_of(team)) broken.push_back("quota: " + team + " uses " + std::to_string(cores) + " at " + std::to_string(now_));
   }
 
   void check(Worker& w) {
@@ -483,7 +530,9 @@
   }
 
   std::mt19937_64 random_;
-  bool cuts_;
+  bool cuts_, teams_;
+  std::map<std::string, std::map<double, double>> limits_;  // of each team, by when they came into force
+  std::map<std::string, std::string> owner_of_;
   double zone_cut_until_ = 0;
   Custody custody_{custody_span(kCancel, kLease), 0};
   std::uint64_t follower_epoch_ = 0;
@@ -514,6 +563,19 @@
   EXPECT_GT(suspected, 240u) << "two jobs of each day are at fault";
 }
 
+// Four teams at their limits, which change in between, and one that comes late: what its workers really run is never more
+// than was in force, and all that was accepted ends.
+TEST(Safety, NoTeamUsesMoreThanItsLimitWhileLimitsChange) {
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    Day day(seed, false, true);
+    day.play(320);
+    EXPECT_TRUE(day.broken.empty()) << "seed " << seed << ": " << day.broken.size() << " broken, first "
+                                    << (day.broken.empty() ? "" : day.broken.front());
+    EXPECT_GT(day.leaders, 3u) << "seed " << seed;
+    EXPECT_TRUE(day.all_ended()) << "seed " << seed;
+  }
+}
+
 // A zone is cut off from the leader again and again, and its follower keeps its leases: no task is given up while it runs, and
 // none runs longer after its cancellation than it may.
 TEST(Safety, NoRuleIsBrokenWhereAFollowerKeepsLeasesInACut) {
