--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -74,6 +74,8 @@
     std::uint64_t level_stamp = 0;
     std::optional<rollout::Step> step; // on its way: the rollout duty's, sent by the ledger's writer
     double rewrote_at = 0;             // steady seconds of the last commit
+    std::uint64_t teams_ticket = 0;    // of the terms of teams last sent on their way into the ledger
+    std::set<JobIdx> within;           // their teams' guarantees, as the last pass saw it
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
@@ -276,7 +278,7 @@
   // Of what this controller did as a leader. Classes that no aim names are counted together.
   void note_starts(const StartRecord& start);
   std::map<std::string, SecondsHistogram> start_waits_;  // by class: from acceptance to the start in the ledger
-  SecondsHistogram accept_waits_, pass_times_;
+  SecondsHistogram accept_waits_, pass_times_, guarantee_waits_;
 
   std::unique_ptr<FrameServer> frame_server_;
   std::unique_ptr<HttpServer> http_server_;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -68,6 +68,7 @@
   const Job& job = term_->book->job(j);
   const auto& named = settings_.objectives;
   const bool known = std::any_of(named.begin(), named.end(), [&](const auto& o) { return o.job_class == job.spec.job_class; });
+  if (term_->within.contains(j)) guarantee_waits_.add(wall_now() - job.accepted_at);
   // One for each start: a job's tasks that start together waited alike.
   start_waits_[known ? job.spec.job_class : "other"].add(wall_now() - job.accepted_at);
 }
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -330,7 +330,7 @@
         if (p.stopping) touched.insert(p.host);
   }
   note_idle(steady);
-  const auto within = within_guarantee();
+  const auto& within = term_->within = within_guarantee();
   auto input = plan_input(wall, steady, within);
   // Units without a slot before a machine rented now could be up.
   double boots = kForever;
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -402,6 +402,7 @@
     line("accounts_amiss_total", counters_.amiss.load());
   }
   accept_waits_.print(out, "thistlefront_accept_seconds", "");
+  guarantee_waits_.print(out, "thistlefront_guarantee_wait_seconds", "");
   pass_times_.print(out, "thistlefront_pass_seconds", "");
   for (const auto& [job_class, waits] : start_waits_)
     waits.print(out, "thistlefront_start_wait_seconds", "class=\"" + job_class + "\"");
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -80,6 +80,8 @@
 
 bool Controller::agree_on_teams(Lock&, const std::map<std::string, std::optional<TeamsFile>>& files) {
   if (!teams_at(term_->tail.level()) || term_->level.towards != 0) return false;
+  // Asked again while they are on their way, they would be sent once more at each look.
+  if (applied_ticket_ < term_->teams_ticket) return false;
   auto changed = next_agreement(term_->book->accounts(), teams_file_, files);
   if (changed.empty()) return false;
   std::vector<Record> records;
@@ -92,7 +94,7 @@
             : "its terms are in force, the same on all controllers");
     records.emplace_back(std::move(r));
   }
-  enqueue(std::move(records));
+  term_->teams_ticket = enqueue(std::move(records));
   return true;
 }
 
