--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -6,6 +6,7 @@
 
 #include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
+#include "coordination/hearing.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -207,18 +208,6 @@
 
 // Not the one to judge is a leader that hears most machines by way of its peers, or not at all just now: in the first
 // seconds of a cut from the workers, 12 sound ones were released. One that is short of processor time hears late.
-bool Controller::hears_workers() const {
-  const double now = steady_now();
-  std::size_t known = 0, direct = 0;
-  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
-    const Host& host = term_->book->host(HostIdx{i});
-    if (!host.reported || host.gone || host.lost) continue;
-    ++known;
-    direct += now - host.direct_at < kDirectReports * settings_.report_s;
-  }
-  return kDirectShare * direct >= known;
-}
-
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
 // have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
 void Controller::probe(std::vector<Probe>& probes) {
@@ -293,22 +282,11 @@
   if (decisive()) term_->hand_over = "the workers reach other controllers, and not this one";
 }
 
-std::vector<HeardOf> Controller::heard_of(double now) const {
-  const Book& book = *term_->book;
-  std::vector<HeardOf> out;
-  for (std::uint32_t i = 0; i < book.host_count(); ++i) {
-    const Host& host = book.host(HostIdx{i});
-    if (host.gone || host.lost) continue;
-    // One that holds work and was never heard of since the takeover may have died with the earlier leader (lienzo grown,
-    // troubles: 12 machines die as the leader ends, and their replicas waited for the whole lease).
-    if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
-    const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
-      return book.job(ref.job).spec.shape == Shape::service;
-    });
-    out.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : term_->taken_over_at), serves,
-                   !host.placed.empty()});
-  }
-  return out;
+std::vector<HostIdx> Controller::doubtful_machines() const {
+  const double now = steady_now();
+  const auto heard = hearing(*term_->book, now, kDirectReports * settings_.report_s);
+  if (kDirectShare * heard.direct < heard.known) return {};
+  return doubtful(heard_of(*term_->book, now, term_->taken_over_at), settings_.report_s);
 }
 
 void Controller::release_silent(HttpClient& cloud, std::stop_token stop) {
@@ -316,8 +294,8 @@
   std::vector<Probe> probes;
   {
     Lock lock(mutex_);
-    if (!decisive() || workers_by_peers() || !hears_workers()) return;
-    for (HostIdx h : doubtful(heard_of(steady_now()), settings_.report_s)) {
+    if (!decisive() || workers_by_peers()) return;
+    for (HostIdx h : doubtful_machines()) {
       const Host& host = term_->book->host(h);
       if (probes.size() < budget_.probes) probes.push_back({host.name, host.address});
     }
@@ -332,9 +310,9 @@
   {
     Lock lock(mutex_);
     // Looked at once more: a cut may have begun just before they were asked, or one was heard of by way of another controller.
-    if (!decisive() || !hears_workers()) return;
+    if (!decisive()) return;
     std::set<std::string> still;
-    for (HostIdx h : doubtful(heard_of(steady_now()), settings_.report_s)) still.insert(term_->book->host(h).name);
+    for (HostIdx h : doubtful_machines()) still.insert(term_->book->host(h).name);
     for (const auto& p : probes)
       if (still.contains(p.name)) names.push_back(p.name);
   }
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -23,7 +23,6 @@
 #include "coordination/peer_link.hpp"
 #include "coordination/planner.hpp"
 #include "coordination/renting.hpp"
-#include "coordination/silence.hpp"
 #include "coordination/standing_back.hpp"
 #include "coordination/start_watch.hpp"
 #include "coordination/store_client.hpp"
@@ -101,8 +100,6 @@
   void peer_duty(std::stop_token stop, std::size_t peer);
   void note_acks();
   Beat beat_for(PeerLink& link);
-  // How long ago the oldest cancellation was made that is not yet carried out in this zone.
-  double owed_in(const std::string& site) const;
   // Adds until when other controllers may have answered workers on their own.
   void note_kept(Fencing& fencing, double now);
   // Whether it goes on answering this worker though it can't tell what the leader, or another one, decides.
@@ -185,9 +182,8 @@
   bool knows_fleet(double now) const;
   void release_machines(HttpClient& cloud);
   void release_silent(HttpClient& cloud, std::stop_token stop);
-  // Machines that matter, and since when each is silent.
-  std::vector<HeardOf> heard_of(double now) const;
-  bool hears_workers() const;
+  // Those silent though they should not be, where it hears enough itself to judge.
+  std::vector<HostIdx> doubtful_machines() const;
   // Tells the operator when work that fits does not start for long, what waits for long and for what, and when the accounts
   // of teams do not agree with a count of what is placed.
   void watch_starts();
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "coordination/controller.hpp"
+#include "coordination/hearing.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
@@ -167,7 +168,8 @@
     if (term_number_ != number || role_ == Role::follower) break;
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
-      if (role_ == Role::leading) custody_.granted(term_->epoch, asked, owed_in(settings_.site));
+      if (role_ == Role::leading)
+        custody_.granted(term_->epoch, asked, oldest_owed(*term_->book, settings_.site, steady_now(), settings_.cancel_s));
       if (isolated()) {
         hand_over(lock, store, hold, "cut off from its peers and most workers", kStandBack);
         break;
@@ -217,27 +219,15 @@
   if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s) return false;
   for (const auto& link : links_)
     if (now - link.answered_at < kPeersLost) return false;
-  std::size_t heard = 0, silent = 0;
-  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
-    const Host& host = term_->book->host(HostIdx{i});
-    if (!host.reported || host.gone || host.lost) continue;
-    ++(now - host.reported_at < kPeersLost + settings_.report_s ? heard : silent);
-  }
-  return silent > heard;
+  const auto heard = hearing(*term_->book, now, kPeersLost + settings_.report_s);
+  return heard.known > 2 * heard.lately;
 }
 
 bool Controller::workers_by_peers() const {
-  const double now = steady_now(), lately = kPeersLost + settings_.report_s;
+  const double now = steady_now();
   if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s / 2) return false;
-  std::size_t direct = 0, by_peers = 0, known = 0;
-  for (std::uint32_t i = 0; i < term_->book->host_count(); ++i) {
-    const Host& host = term_->book->host(HostIdx{i});
-    if (!host.reported || host.gone || host.lost) continue;
-    ++known;
-    if (now - host.direct_at < lately) ++direct;
-    else if (now - host.reported_at < lately) ++by_peers;
-  }
-  return by_peers > 2 * direct && 4 * by_peers > known;
+  const auto heard = hearing(*term_->book, now, kPeersLost + settings_.report_s);
+  return heard.by_peers > 2 * heard.direct && 4 * heard.by_peers > heard.known;
 }
 
 void Controller::hand_over(Lock& lock, StoreClient& store, std::uint64_t hold, const char* why, double stand_back_s) {
@@ -342,7 +332,7 @@
 Beat Controller::beat_for(PeerLink& link) {
   Beat beat{settings_.label, term_->epoch, term_->takeover_epoch};
   if (!decisive() || link.marked_by == 0) return beat;
-  const double owed = owed_in(link.peer.site);
+  const double owed = oldest_owed(*term_->book, link.peer.site, steady_now(), settings_.cancel_s);
   if (owed >= settings_.cancel_s) return beat;
   beat.marked_by = link.marked_by;
   beat.mark = link.mark;
@@ -351,21 +341,6 @@
   return beat;
 }
 
-double Controller::owed_in(const std::string& site) const {
-  const Book& book = *term_->book;
-  double owed = 0;
-  for (JobIdx j : book.live()) {
-    const Job& job = book.job(j);
-    if (job.status != JobStatus::aborted) continue;
-    const bool there = std::any_of(job.placed.begin(), job.placed.end(), [&](const auto& p) {
-      const ZoneIdx zone = book.host(p.second.host).zone;
-      return !zone.valid() || book.zone_name(zone) == site;
-    });
-    if (there) owed = std::max(owed, job.cancelled_at > 0 ? steady_now() - job.cancelled_at : settings_.cancel_s);
-  }
-  return owed;
-}
-
 void Controller::note_kept(Fencing& fencing, double now) {
   Book& book = *term_->book;
   const auto note = [&](std::vector<double>& by_zone, const std::string& site, double until) {
--- a/tests/silence_test.cpp
+++ b/tests/silence_test.cpp
@@ -1,11 +1,12 @@
 // Lost machines told from a cut: kept traces of when each machine was last heard of. A zone that is only cut
 // must never be released, and machines that died together must not wait for their leases.
-#include "coordination/silence.hpp"
-
 #include <gtest/gtest.h>
 
 #include <random>
 
+#include "coordination/hearing.hpp"
+#include "jobs.hpp"
+
 namespace thistle {
 namespace {
 
@@ -57,5 +58,53 @@
   EXPECT_EQ(doubtful(two, kReport), std::vector<HostIdx>{HostIdx{1}});
 }
 
+// Reported by way of others only, by itself, lately not at all; gone, lost and never heard of are not
+// counted.
+TEST(Hearing, TellsMachinesApartByHowTheyAreHeardOf) {
+  Book book = book_of_red(10);
+  const auto machine = [&](const std::string& name, double reported_at, double direct_at) -> Host& {
+    Host& host = book.host(book.host_named(name));
+    host.reported = true;
+    host.reported_at = reported_at;
+    host.direct_at = direct_at;
+    return host;
+  };
+  machine("m-1", 99, 99);
+  machine("m-2", 99, 50);
+  machine("m-3", 60, 60);
+  machine("m-4", 99, 99).gone = true;
+  machine("m-5", 99, 99).lost = true;
+  book.host_named("m-6");
+  const auto heard = hearing(book, 100, 5);
+  EXPECT_EQ(heard.known, 3u);
+  EXPECT_EQ(heard.lately, 2u);
+  EXPECT_EQ(heard.direct, 1u);
+  EXPECT_EQ(heard.by_peers, 1u);
+}
+
+// What may be kept in a cut is shortened by the oldest cancellation not carried out there.
+TEST(Hearing, OwesTheOldestCancellationOfAZone) {
+  Book book = book_of_red(10);
+  for (const auto* uid : {"j-1", "j-2", "j-3"}) {
+    book.apply(AcceptRecord{submission(uid, 1, 1), 0.5, 1});
+    book.apply(StartRecord{uid, 1, 2, {{uid == std::string("j-3") ? "m-2" : "m-1", 1, {{0, 1}}}}});
+  }
+  book.describe(book.find_host("m-1"), "a", "big", "x", false);
+  book.describe(book.find_host("m-2"), "a", "big", "y", false);
+  EXPECT_EQ(oldest_owed(book, "x", 100, 20), 0);
+  const auto cancel = [&](const std::string& uid, double at) {
+    book.apply(CancelRecord{uid});
+    book.job(book.find(uid)).cancelled_at = at;
+  };
+  cancel("j-1", 97);
+  cancel("j-2", 93);
+  EXPECT_EQ(oldest_owed(book, "x", 100, 20), 7);
+  EXPECT_EQ(oldest_owed(book, "y", 100, 20), 0);
+  cancel("j-3", 0);
+  EXPECT_EQ(oldest_owed(book, "y", 100, 20), 20) << "an earlier leader's: its age is not known";
+  book.apply(OffRecord{"j-2", 1, {{0, 1}}});
+  EXPECT_EQ(oldest_owed(book, "x", 100, 20), 3);
+}
+
 }  // namespace
 }  // namespace thistle
