--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -6,7 +6,7 @@
 
 #include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
-#include "coordination/hearing.hpp"
+#include "fleet/hearing.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 
 #include "coordination/controller.hpp"
-#include "coordination/hearing.hpp"
+#include "fleet/hearing.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 
 #include "coordination/controller.hpp"
-#include "coordination/preemption.hpp"
+#include "planning/preemption.hpp"
 #include "transport/clock.hpp"
 #include "transport/threads.hpp"
 
--- a/src/coordination/peer_link.hpp
+++ b/src/coordination/peer_link.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <memory>
 
-#include "coordination/custody.hpp"
+#include "fleet/custody.hpp"
 #include "protocol/settings.hpp"
 #include "transport/frames.hpp"
 
--- a/src/coordination/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -1,4 +1,4 @@
-#include "coordination/custody.hpp"
+#include "fleet/custody.hpp"
 
 #include <algorithm>
 
--- a/src/coordination/dealings.cpp
+++ b/src/fleet/dealings.cpp
@@ -1,4 +1,4 @@
-#include "coordination/dealings.hpp"
+#include "fleet/dealings.hpp"
 
 #include <algorithm>
 #include <tuple>
--- a/src/coordination/due_workers.cpp
+++ b/src/fleet/due_workers.cpp
@@ -1,4 +1,4 @@
-#include "coordination/due_workers.hpp"
+#include "fleet/due_workers.hpp"
 
 #include <utility>
 
--- a/src/coordination/hearing.cpp
+++ b/src/fleet/hearing.cpp
@@ -1,4 +1,4 @@
-#include "coordination/hearing.hpp"
+#include "fleet/hearing.hpp"
 
 #include <algorithm>
 
--- a/src/coordination/hearing.hpp
+++ b/src/fleet/hearing.hpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "bookkeeping/book.hpp"
-#include "coordination/silence.hpp"
+#include "fleet/silence.hpp"
 
 namespace thistle {
 
--- a/src/coordination/silence.cpp
+++ b/src/fleet/silence.cpp
@@ -1,4 +1,4 @@
-#include "coordination/silence.hpp"
+#include "fleet/silence.hpp"
 
 #include <algorithm>
 #include <map>
--- a/src/coordination/planner.cpp
+++ b/src/planning/planner.cpp
@@ -1,4 +1,4 @@
-#include "coordination/planner.hpp"
+#include "planning/planner.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -1,4 +1,4 @@
-#include "coordination/preemption.hpp"
+#include "planning/preemption.hpp"
 
 #include <algorithm>
 #include <map>
--- a/src/coordination/preemption.hpp
+++ b/src/planning/preemption.hpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "bookkeeping/book.hpp"
-#include "coordination/planner.hpp"
+#include "planning/planner.hpp"
 
 namespace thistle {
 
--- a/src/coordination/renting.cpp
+++ b/src/planning/renting.cpp
@@ -1,4 +1,4 @@
-#include "coordination/renting.hpp"
+#include "planning/renting.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -7,7 +7,7 @@
 
 #include <thread>
 
-#include "coordination/due_workers.hpp"
+#include "fleet/due_workers.hpp"
 #include "rig/state_service.hpp"
 #include "transport/clock.hpp"
 #include "transport/kept_lines.hpp"
--- a/tests/custody_test.cpp
+++ b/tests/custody_test.cpp
@@ -1,6 +1,6 @@
 // How long a follower keeps leases in a cut, and how long the leader counts on it. The proof is played in
 // safety_test.
-#include "coordination/custody.hpp"
+#include "fleet/custody.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -1,5 +1,5 @@
 // What a report means, and what a worker is due: the invariants of dealings with workers.
-#include "coordination/dealings.hpp"
+#include "fleet/dealings.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/deciders_test.cpp
+++ b/tests/deciders_test.cpp
@@ -8,7 +8,7 @@
 #include <deque>
 #include <unordered_set>
 
-#include "coordination/dealings.hpp"
+#include "fleet/dealings.hpp"
 #include "jobs.hpp"
 
 namespace thistle {
--- a/tests/planner_scale_test.cpp
+++ b/tests/planner_scale_test.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <random>
 
-#include "coordination/planner.hpp"
+#include "planning/planner.hpp"
 
 namespace thistle {
 namespace {
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,5 +1,5 @@
 // Runs the kept traces: a queue and a fleet in, a timetable out.
-#include "coordination/planner.hpp"
+#include "planning/planner.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -1,5 +1,5 @@
 // Preemption: who may be stopped for whom, and that nobody is stopped in turns.
-#include "coordination/preemption.hpp"
+#include "planning/preemption.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -1,5 +1,5 @@
 // Which machines are rented: kept stories of fleets whose machines come, come late, or never come.
-#include "coordination/renting.hpp"
+#include "planning/renting.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -13,8 +13,8 @@
 #include <random>
 #include <set>
 
-#include "coordination/custody.hpp"
-#include "coordination/dealings.hpp"
+#include "fleet/custody.hpp"
+#include "fleet/dealings.hpp"
 
 namespace thistle {
 namespace {
--- a/tests/silence_test.cpp
+++ b/tests/silence_test.cpp
@@ -4,7 +4,7 @@
 
 #include <random>
 
-#include "coordination/hearing.hpp"
+#include "fleet/hearing.hpp"
 #include "jobs.hpp"
 
 namespace thistle {
