The accept loop waits for no thread: one join that never returned stopped a controller

A watch on the accept loop showed it in the join of a connection's thread that had ended; the thread was not there any more. Change: threads of connections are detached, and their last act is a flag; probes wait for answers, not for threads. Ruled out: the acceptor's lock (free), the lock of the controller (passes went on), a bound of sockets reached before. Why the join does not return is not known; on simulated machines alone, as far as was seen.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -213,9 +213,9 @@
 void Controller::probe(std::vector<Probe>& probes) {
   // All at once: with one after the other, the replicas of the last of 13 dead machines waited 20 s (lienzo grown,
   // troubles).
-  std::vector<std::jthread> threads;
+  std::vector<std::function<void()>> work;
   for (auto& p : probes) {
-    const auto ask = [this, &p] {
+    work.emplace_back([this, &p] {
       HttpClient worker(p.address);
       const auto r = worker.get(kWorkerStatusPath, kProbeTimeout);
       if (!r.ok()) return;
@@ -229,14 +229,9 @@
       } catch (const Malformed& e) {
         spdlog::error("{}: malformed status: {}", p.name, e.what());
       }
-    };
-    try {
-      threads.emplace_back(ask);
-    } catch (const std::system_error& e) {
-      spdlog::error("no thread to ask {}: {}", p.name, e.what());
-      ask();
-    }
+    });
   }
+  run_at_once(work);
 }
 
 // On one play of operations on kaubaalus ops nothing ran for minutes, and nothing in the log said so.
--- a/src/transport/acceptor.cpp
+++ b/src/transport/acceptor.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
 #include <system_error>
 
 #include "transport/clock.hpp"
@@ -30,10 +31,12 @@
     rest.swap(connections_);
   }
   for (auto& c : rest) {
-    c->thread_.request_stop();
+    c->stop_.request_stop();
     c->stream.socket().shutdown();
   }
-  rest.clear();  // joins
+  // Their routines use what the owner of this acceptor takes down next.
+  for (auto& c : rest)
+    while (!c->finished_.load()) std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
 std::size_t Acceptor::open() {
@@ -43,16 +46,8 @@
 
 void Acceptor::sweep() {
   if (ended_.load() == 0) return;
-  std::list<std::unique_ptr<Connection>> ended;
   std::lock_guard lock(mutex_);
-  for (auto it = connections_.begin(); it != connections_.end();) {
-    auto next = std::next(it);
-    if ((*it)->finished_.load()) {
-      ended.splice(ended.end(), connections_, it);
-      --ended_;
-    }
-    it = next;
-  }
+  ended_ -= connections_.remove_if([](const auto& c) { return c->finished_.load(); });
 }
 
 void Acceptor::accept_loop(std::stop_token stop) {
@@ -77,9 +72,9 @@
     connection->touch();
     Connection* raw = connection.get();
     try {
-      connection->thread_ = std::jthread([this, raw](std::stop_token st) {
+      std::thread([this, raw] {
         try {
-          routine_(*raw, st);
+          routine_(*raw, raw->stop_.get_token());
         } catch (const std::exception& e) {
           spdlog::error("connection routine: {}", e.what());
         }
@@ -87,7 +82,7 @@
         raw->stream.socket().shutdown();
         ++ended_;
         raw->finished_.store(true);
-      });
+      }).detach();
     } catch (const std::system_error& e) {
       spdlog::error("no thread for a connection: {}", e.what());
       continue;
--- a/src/transport/acceptor.hpp
+++ b/src/transport/acceptor.hpp
@@ -24,8 +24,11 @@
    private:
     friend class Acceptor;
     std::atomic<double> active_{0};
+    std::stop_source stop_;
+    // The last thing that its thread touches. The thread is detached, and is never waited for: a join in the accept loop did
+    // not return once in a while though the thread was gone, and nothing was accepted any more by a controller that led on
+    // (simulated machines, lienzo fleet: all leases over, no user answered, until the process ended).
     std::atomic<bool> finished_{false};
-    std::jthread thread_;
   };
   using Routine = std::function<void(Connection&, std::stop_token)>;
 
--- a/src/transport/threads.cpp
+++ b/src/transport/threads.cpp
@@ -2,6 +2,11 @@
 
 #include <malloc.h>
 #include <pthread.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+#include <system_error>
+#include <thread>
 
 namespace thistle {
 
@@ -18,4 +23,32 @@
   pthread_attr_destroy(&attr);
 }
 
+void run_at_once(const std::vector<std::function<void()>>& work) {
+  struct Left {
+    std::mutex mutex;
+    std::condition_variable none;
+    std::size_t count;
+    void one_less() {
+      std::lock_guard lock(mutex);
+      if (--count == 0) none.notify_all();
+    }
+  };
+  const auto left = std::make_shared<Left>();
+  left->count = work.size();
+  for (const auto& one : work) {
+    try {
+      std::thread([&one, left] {
+        one();
+        left->one_less();
+      }).detach();
+    } catch (const std::system_error& e) {
+      spdlog::error("no thread: {}", e.what());
+      one();
+      left->one_less();
+    }
+  }
+  std::unique_lock lock(left->mutex);
+  left->none.wait(lock, [&] { return left->count == 0; });
+}
+
 }  // namespace thistle
--- a/src/transport/threads.hpp
+++ b/src/transport/threads.hpp
@@ -2,8 +2,10 @@
 #pragma once
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <stop_token>
+#include <vector>
 
 namespace thistle {
 
@@ -19,4 +21,8 @@
   return !stop.stop_requested();
 }
 
+// Runs all of it at the same time, each in a thread of its own, and returns when all of it is done; what gets no thread is run
+// here. The work is waited for, and not the threads: see Acceptor::Connection.
+void run_at_once(const std::vector<std::function<void()>>& work);
+
 }  // namespace thistle
