A lead in doubt counts only peers' processes that it knew; the key of an ended process is given back

What was kept by a controller's name, and not by process, with processes that come back within a fraction of a second: - An acknowledgement of a later lead is forgotten when its process ends. Once its hold may be over, only processes count that answered while it was alive. Backing, a pure part of src/duties, out of Controller. - The key of a controller's own earlier process: given back after 0.5 s by one transaction conditional on it, and others go first.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -34,13 +34,14 @@
       random_(random_word()),
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
       lines_(budget_.lines),
-      custody_(custody_span(settings_.cancel_s, settings_.lease_s), steady_now()) {
-  follower_since_ = steady_now();
+      began_(steady_now()),
+      custody_(custody_span(settings_.cancel_s, settings_.lease_s), began_) {
+  follower_since_ = began_;
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
   for (const auto& p : settings_.peers) {
     links_.push_back({p, std::make_unique<FramePool>(p.address, Budget::kCallsToAPeer),
-                      std::make_unique<FramePool>(p.address, 1), 0, {}, 0, 0, 0, 0});
+                      std::make_unique<FramePool>(p.address, 1), {}, 0, 0, 0});
   }
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -22,6 +22,7 @@
 #include "coordination/start_watch.hpp"
 #include "coordination/store_client.hpp"
 #include "coordination/tuning.hpp"
+#include "duties/backing.hpp"
 #include "fleet/custody.hpp"
 #include "fleet/dealings.hpp"
 #include "fleet/due_workers.hpp"
@@ -52,6 +53,8 @@
  private:
   using Lock = std::unique_lock<std::mutex>;
   enum class Role { follower, recovering, leading };
+  // Seconds for which an answer that may grow old can be on its way to its user, other controllers included.
+  static constexpr double kAnswerLife = 0.5;
 
   // One term of leadership: all that goes when it ends.
   struct Term {
@@ -62,8 +65,7 @@
     double taken_over_at = 0;
     bool started = false;              // a start of this term is in the ledger
     bool first_of_all = false;         // the ledger was empty: no earlier leader rented or placed anything
-    double majority_acked_at = -1;     // steady: a majority of the controllers knew of this term
-    double peers_acked_at = -1;        // steady: no other controller answers workers from then on
+    Backing backing;                   // what the other controllers answered in this term
     bool bump_wanted = false;
     const char* hand_over = nullptr;   // why it is to give leadership up, in order
     double bumped_at = 0;
@@ -98,7 +100,6 @@
   bool take_leadership(StoreClient& store, std::stop_token stop, const rollout::Look& look);
   void lead(StoreClient& store, std::stop_token stop);
   void peer_duty(std::stop_token stop, std::size_t peer);
-  void note_acks();
   Beat beat_for(PeerLink& link);
   // Adds until when other controllers may have answered workers on their own.
   void note_kept(Fencing& fencing, double now);
@@ -109,6 +110,14 @@
   bool isolated() const;
   // Whether most workers are heard by way of other controllers only.
   bool workers_by_peers() const;
+  // Of an earlier process of this controller, which ended with its hold alive: its key goes, so that another one leads.
+  // Whether there was nothing to wait for.
+  bool clear_own_lead(StoreClient& store, std::stop_token stop, const rollout::Look& look);
+  // Another lead than the one known before, if under the same name: what was kept of that one is over, and where it is
+  // known who leads, calls that wait for it are too.
+  void new_lead(bool known);
+  // Waits until no answer that may grow old can be given any more, by this controller or one that it was passed on to.
+  void outwait_answers(Lock& lock) const;
   // Gives the hold back when nothing is on its way into the ledger, so that another controller leads at once.
   void hand_over(Lock& lock, StoreClient& store, std::uint64_t hold, const char* why, double stand_back_s);
   void step_down(Lock& lock, const char* why);
@@ -212,6 +221,7 @@
   std::unique_ptr<Term> term_;
   std::uint64_t known_epoch_ = 0, known_takeover_ = UINT64_MAX;
   std::string known_leader_;
+  std::uint64_t leads_known_ = 0;  // counts the leads that it learned of, one after the other under the same name too
   double follower_since_ = 0, last_beat_ = 0, leader_since_ = 0;
   double store_failing_since_ = 0;  // 0: the last write went through
   bool committing_ = false;
@@ -267,6 +277,8 @@
   std::optional<RentalRequest> rental_;  // made and not answered; used by the cloud's duty alone
 
   std::vector<PeerLink> links_;
+  const double began_;         // steady seconds: what an earlier process of this controller did ended before
+  double answers_until_ = 0;   // steady seconds: until then answers that it gave, and that may grow old, may be on their way
   Custody custody_;
 
   Counters counters_;
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -17,12 +17,12 @@
 constexpr unsigned kFollowMs = 10000;
 constexpr double kPeersLost = 3.0;    // no peer has answered for this long
 constexpr double kLonelyGrace = 5.0;  // longest that an uncertain leader answers workers without a majority
-constexpr double kAnswerLag = 1.0;
 constexpr double kStandBack = 4.0;    // before it tries to lead again
 constexpr double kLookAgain = 0.3;
 constexpr double kOthersFirst = 3.0;  // one that stands back leads all the same when nobody else has for this long
 constexpr double kLagMemory = 0.7;    // of the lateness before, at each renewal
 constexpr double kLastCommit = 0.4;   // what is queued may go into the ledger before the hold is given back
+constexpr double kBehindOthers = 0.3;  // one that cleared the key of its own earlier process lets the others go first
 }  // namespace
 
 void Controller::leadership_duty(std::stop_token stop) {
@@ -78,7 +78,7 @@
       Lock lock(mutex_);
       learn(look.leader_stamp, look.leader->label);
     }
-    // An earlier process of this controller may have left the key; it goes when its hold ends.
+    if (look.leader->label == settings_.label && !clear_own_lead(store, stop, look)) continue;
     if (store.follow(kLeadPrefix, rows.rev, kFollowMs) != StoreStatus::ok && !pause_for(stop, 0.3)) return;
   }
 }
@@ -125,7 +125,7 @@
   term_->level_stamp = look.on_stamp;
   term_->taken_over_at = steady_now();
   term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
-  if (links_.empty()) term_->peers_acked_at = term_->taken_over_at;
+  term_->backing = Backing(links_.size(), term_->taken_over_at, lonely_grace());
   custody_.drop();
   for (auto& link : links_) {
     link.granted = Granted(custody_span(settings_.cancel_s, settings_.lease_s), term_->taken_over_at);
@@ -194,19 +194,44 @@
     }
   }
   if (stop.stop_requested()) {
+    // First it ceases to decide and to answer, and then another may lead: dropped before, the hold left some milliseconds in
+    // which both told users what they knew.
+    {
+      Lock lock(mutex_);
+      if (term_number_ == number) step_down(lock, "stopping");
+      outwait_answers(lock);
+    }
     StoreClient last(settings_.state);
     last.drop(hold);
   }
 }
 
+bool Controller::clear_own_lead(StoreClient& store, std::stop_token stop, const rollout::Look& look) {
+  if (look.leader->incarnation == incarnation_) return true;
+  // What that process told the others may be on its way to users for a moment yet.
+  if (const double left = began_ + kAnswerLife + kValidMargin - steady_now(); left > 0) {
+    pause_for(stop, left);
+    return false;
+  }
+  std::uint64_t rev = 0;
+  std::vector<std::string> failed;
+  const auto status = store.txn(rollout::leave_lead(look).body(), rev, failed);
+  // Another one's key by now, or no answer: it is looked at once more.
+  if (status != StoreStatus::ok) pause_for(stop, kLookAgain);
+  if (status == StoreStatus::ok) {
+    spdlog::info("the lead of an earlier process of this controller is given back, epoch {}", look.leader_stamp);
+    Lock lock(mutex_);
+    // A process that ends as soon as it leads must not be the next one again and again.
+    standing_back_.until(std::max(standing_back_.ends(), steady_now() + kBehindOthers));
+  }
+  return false;
+}
+
 // A leader inside a cut would keep its workers' leases alive for as long as the cut lasts, while its successor tells
 // users that their jobs are cancelled (kaubaalus grown, rough: ran_cancelled). A majority that knows of the successor
 // leaves it without one, so the successor can count on its silence soon after.
 bool Controller::may_answer(double now) const {
-  if (now < term_->valid_until) return true;
-  const auto lately = std::count_if(links_.begin(), links_.end(),
-                                    [&](const PeerLink& l) { return now - l.answered_at < lonely_grace(); });
-  return 2 * (static_cast<std::size_t>(lately) + 1) > links_.size() + 1;
+  return now < term_->valid_until || term_->backing.majority(now);
 }
 
 double Controller::lonely_grace() const {
@@ -217,8 +242,7 @@
 bool Controller::isolated() const {
   const double now = steady_now();
   if (links_.empty() || role_ != Role::leading || now - term_->taken_over_at < settings_.lease_s) return false;
-  for (const auto& link : links_)
-    if (now - link.answered_at < kPeersLost) return false;
+  if (!term_->backing.lonely(now, kPeersLost)) return false;
   const auto heard = hearing(*term_->book, now, kPeersLost + settings_.report_s);
   return heard.known > 2 * heard.lately;
 }
@@ -238,6 +262,7 @@
   if (term_number_ == number) step_down(lock, why);
   ++counters_.handed_over;
   standing_back_.until(steady_now() + stand_back_s);
+  outwait_answers(lock);
   lock.unlock();
   store.drop(hold);
 }
@@ -261,7 +286,6 @@
   term_.reset();
   due_.clear();
   lines_.clear();
-  for (auto& link : links_) link.acked_epoch = 0;
   store_failing_since_ = 0;  // of the writes of this term: a later one must not refuse users for it
   if (known_leader_ == settings_.label) known_leader_.clear();
   role_changed_.notify_all();
@@ -276,12 +300,7 @@
     // Until the leader says when it took over, only a raised epoch of the same leader leaves that as it was.
     if (label != known_leader_) {
       known_takeover_ = epoch;
-      leader_since_ = steady_now();
-      custody_.drop();
-      // Which workers can't reach the earlier leader says nothing of this one.
-      bounces_.clear();
-      // Calls that still wait for the earlier one are better asked of this one.
-      if (FramePool* pool = leader_pool(); pool && !label.empty()) pool->interrupt();
+      new_lead(!label.empty());
     }
     if (label != known_leader_ && !label.empty()) spdlog::info("leader is {}, epoch {}", label, epoch);
     known_epoch_ = epoch;
@@ -289,6 +308,24 @@
   }
 }
 
+void Controller::new_lead(bool known) {
+  ++leads_known_;
+  leader_since_ = steady_now();
+  custody_.drop();
+  // Which workers can't reach the earlier leader says nothing of this one.
+  bounces_.clear();
+  // Calls that still wait for the earlier one are better asked of this one.
+  if (FramePool* pool = leader_pool(); pool && known) pool->interrupt();
+}
+
+void Controller::outwait_answers(Lock& lock) const {
+  const double left = answers_until_ - steady_now();
+  if (left <= 0) return;
+  lock.unlock();
+  std::this_thread::sleep_for(std::chrono::duration<double>(left));
+  lock.lock();
+}
+
 void Controller::peer_duty(std::stop_token stop, std::size_t peer) {
   auto& link = links_[peer];
   bool reached = true;
@@ -319,13 +356,13 @@
       step_down(lock, "a peer knows of a higher epoch");
       continue;
     }
-    link.answered_at = asked;
-    link.acked_epoch = std::max(link.acked_epoch, ack->epoch);
+    const double answered = steady_now();
+    term_->backing.answered(peer, ack->marked_by, asked, ack->epoch, answered < term_->valid_until);
+    term_->backing.alone_since(term_->takeover_epoch, answered);
     link.granted.answered(echoed_sent_at, steady_now(), ack->kept_ms_ago / 1000.0);
     link.marked_by = ack->marked_by;
     link.mark = ack->mark;
     link.marked_sent_at = asked;
-    note_acks();
   }
 }
 
@@ -359,17 +396,4 @@
   return custody_.keeps(now) && report.yard == settings_.site && report.epoch <= custody_.epoch();
 }
 
-void Controller::note_acks() {
-  Term& term = *term_;
-  const double now = steady_now();
-  const auto acked = static_cast<std::size_t>(std::count_if(
-      links_.begin(), links_.end(), [&](const PeerLink& l) { return l.acked_epoch >= term.takeover_epoch; }));
-  if (acked == links_.size() && term.peers_acked_at < 0) term.peers_acked_at = now;
-  if (2 * (acked + 1) > links_.size() + 1 && term.majority_acked_at < 0) term.majority_acked_at = now;
-  // An earlier leader that hears of none of those that know better falls silent after its grace.
-  if (term.peers_acked_at < 0 && term.majority_acked_at >= 0 &&
-      now > term.majority_acked_at + lonely_grace() * (1 + kClockDrift) + kAnswerLag)
-    term.peers_acked_at = now;
-}
-
 }  // namespace thistle
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -301,7 +301,7 @@
   const double steady = steady_now(), wall = wall_now();
   const auto number = term_number_;
   Book& book = *term_->book;
-  Fencing fencing{term_->takeover_epoch, term_->taken_over_at, term_->peers_acked_at};
+  Fencing fencing{term_->takeover_epoch, term_->taken_over_at, term_->backing.alone_since(term_->takeover_epoch, steady)};
   note_kept(fencing, steady);
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     Host& host = book.host(HostIdx{i});
--- a/src/coordination/peer_link.hpp
+++ b/src/coordination/peer_link.hpp
@@ -13,11 +13,9 @@
   Settings::Peer peer;
   std::unique_ptr<FramePool> calls;  // users' requests and reports, when the peer leads
   std::unique_ptr<FramePool> beats;
-  std::uint64_t acked_epoch = 0;
   Granted granted;
   std::uint64_t marked_by = 0, mark = 0;  // of its latest answer in this term
   double marked_sent_at = 0;              // steady seconds: when the beat was sent that it answered so
-  double answered_at = 0;  // steady seconds
 };
 
 }  // namespace thistle
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -10,6 +10,7 @@
 namespace thistle {
 
 namespace {
+constexpr double kSettled = 1.0;     // one that ends again sooner, over and over, costs no change for each start
 constexpr double kLookPeriod = 5.0;  // seconds between looks at the roster
 constexpr double kSoonAgain = 1.0;
 constexpr double kAgain = 0.2;
@@ -22,7 +23,7 @@
   for (auto& link : links_) pools.push_back(link.calls.get());
   RosterView view(settings_, able_, teams_file_, std::move(pools));
   // Before anything else its own record: a switch is conditional on what it says.
-  if (!view.enlist(store, stop)) return;
+  if (!pause_for(stop, kSettled) || !view.enlist(store, stop)) return;
   while (!stop.stop_requested()) {
     {
       Lock lock(mutex_);
--- a/src/coordination/standing_back.hpp
+++ b/src/coordination/standing_back.hpp
@@ -14,6 +14,7 @@
     return kLong * (1u << in_a_row_);
   }
   void until(double at) { until_ = at; }
+  [[nodiscard]] double ends() const { return until_; }
   [[nodiscard]] double left(double now) const { return std::max(0.0, until_ - now); }
 
  private:
--- /dev/null
+++ b/src/duties/backing.cpp
@@ -0,0 +1,44 @@
+#include "duties/backing.hpp"
+
+#include <algorithm>
+
+namespace thistle {
+
+namespace {
+constexpr double kClockDrift = 0.001;
+constexpr double kAnswerLag = 1.0;  // an answer to a worker made within the grace may reach it so much later
+}  // namespace
+
+Backing::Backing(std::size_t peers, double taken_over_at, double grace_s)
+    : peers_(peers), grace_s_(grace_s), alone_since_(peers == 0 ? taken_over_at : -1) {}
+
+void Backing::answered(std::size_t peer, std::uint64_t process, double asked, std::uint64_t epoch, bool certain) {
+  Peer& p = peers_[peer];
+  p.epoch = std::max(p.epoch, epoch);
+  if (certain) p.process = process;
+  if (p.process == process) p.answered_at = asked;
+}
+
+double Backing::alone_since(std::uint64_t epoch, double now) {
+  if (alone_since_ >= 0) return alone_since_;
+  const auto knowing = static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const Peer& p) { return p.epoch >= epoch; }));
+  if (2 * (knowing + 1) > peers_.size() + 1 && majority_since_ < 0) majority_since_ = now;
+  // An earlier leader that hears of none of those that know better falls silent after its grace.
+  if (knowing == peers_.size() ||
+      (majority_since_ >= 0 && now > majority_since_ + grace_s_ * (1 + kClockDrift) + kAnswerLag))
+    alone_since_ = now;
+  return alone_since_;
+}
+
+bool Backing::majority(double now) const {
+  const auto lately = static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [&](const Peer& p) { return now - p.answered_at < grace_s_; }));
+  return 2 * (lately + 1) > peers_.size() + 1;
+}
+
+bool Backing::lonely(double now, double for_s) const {
+  return std::none_of(peers_.begin(), peers_.end(), [&](const Peer& p) { return now - p.answered_at < for_s; });
+}
+
+}  // namespace thistle
--- a/src/rollout/levels.cpp
+++ b/src/rollout/levels.cpp
@@ -209,6 +209,14 @@
   return step;
 }
 
+Step leave_lead(const Look& look) {
+  Step step;
+  step.after = look.on;
+  step.conditions = {{lead_key(look.on.level), look.leader_stamp}};
+  step.removes = {lead_key(look.on.level)};
+  return step;
+}
+
 Step raise_epoch(const LevelOn& on, const LeaderValue& value, std::uint64_t epoch, std::uint64_t hold) {
   Step step;
   step.after = on;
--- a/src/rollout/levels.hpp
+++ b/src/rollout/levels.hpp
@@ -89,6 +89,8 @@
 // a build that reads only `able`'s levels must not lead.
 std::optional<Step> take_lead(const Look& look, const Able& able, const LeaderValue& value,
                               std::uint64_t hold);
+// Takes the key of a lead away whose process has ended, by whoever knows that for sure; nothing if another leads by then.
+Step leave_lead(const Look& look);
 // Raises the leader's epoch.
 Step raise_epoch(const LevelOn& on, const LeaderValue& value, std::uint64_t epoch, std::uint64_t hold);
 
--- /dev/null
+++ b/tests/backing_test.cpp
@@ -0,0 +1,94 @@
+// What the answers of peers prove, explored exhaustively: an earlier leader that is cut off from the state service and from its
+// successor, a third controller that hears either, both or none of them and may begin anew at any time.
+#include "duties/backing.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace thistle {
+namespace {
+
+constexpr double kGrace = 2;
+constexpr std::uint64_t kEarlier = 5, kLater = 9;  // epochs
+
+struct World {
+  // The earlier leader's hold was alive for sure until 0. It is one of three, as its successor is.
+  Backing earlier{2, -10, kGrace}, later{2, 0, kGrace};
+  std::uint64_t process = 1, knows = 0;  // of the third
+  bool stepped_down = false;
+
+  void hear(bool of_earlier, bool of_later, bool begins_anew, double now, bool guarded) {
+    if (begins_anew) ++process, knows = 0;
+    if (of_later) {
+      knows = kLater;
+      later.answered(0, process, now, knows, true);
+    }
+    if (of_earlier && !stepped_down) {
+      if (knows > kEarlier) {
+        stepped_down = true;
+      } else {
+        knows = kEarlier;
+        earlier.answered(0, process, now, knows, !guarded || now < 0);
+      }
+    }
+  }
+  // No worker may be answered under the earlier lead once the later one counts on it.
+  bool whole(double now) { return later.alone_since(kLater, now) < 0 || stepped_down || !earlier.majority(now); }
+};
+
+std::size_t explore(const World& at, int step, int steps, bool guarded, std::string& how) {
+  if (step == steps) return 0;
+  std::size_t broken = 0;
+  for (int choice = 0; choice < 8 && broken == 0; ++choice) {
+    World next = at;
+    next.hear(choice & 1, choice & 2, choice & 4, step, guarded);
+    if (!next.whole(step)) {
+      how = std::to_string(step) + ":" + std::to_string(choice);
+      return 1;
+    }
+    broken += explore(next, step + 1, steps, guarded, how);
+    if (broken) how = std::to_string(step) + ":" + std::to_string(choice) + " " + how;
+  }
+  return broken;
+}
+
+World before() {
+  World w;
+  w.hear(true, false, false, -1, true);  // the third one answered the earlier leader while its hold was alive
+  return w;
+}
+
+TEST(Backing, ASuccessorNeverCountsOnSilenceThatAProcessBegunAnewCouldBreak) {
+  std::string how;
+  EXPECT_EQ(explore(before(), 0, 7, true, how), 0u) << how;
+}
+
+// Without regard to which process of a controller answered: acknowledged by the third one, forgotten as it begins anew, and the
+// earlier leader has a majority again. Each step: 1 hears the earlier one, 2 the later one, 4 begins anew before.
+TEST(Backing, WithoutRegardToTheProcessItIsFound) {
+  std::string how;
+  EXPECT_EQ(explore(before(), 0, 7, false, how), 1u);
+  EXPECT_NE(how.find(":5"), std::string::npos) << how;
+}
+
+TEST(Backing, AMajorityIsLostAfterTheGraceAndKeptByThoseKnownBefore) {
+  Backing b(2, 0, kGrace);
+  b.answered(0, 1, 10, kEarlier, true);
+  EXPECT_TRUE(b.majority(11));
+  EXPECT_FALSE(b.majority(12.5));
+  b.answered(0, 1, 13, kEarlier, false);
+  EXPECT_TRUE(b.majority(14)) << "the same process would have told";
+  b.answered(0, 2, 16, kEarlier, false);
+  EXPECT_FALSE(b.majority(16.5)) << "it began anew: it may have forgotten";
+  EXPECT_TRUE(b.lonely(40, 3));
+}
+
+TEST(Backing, OneWithoutPeersIsAloneFromTheStart) {
+  Backing b(0, 7, kGrace);
+  EXPECT_EQ(b.alone_since(kLater, 9), 7);
+  EXPECT_TRUE(b.majority(1e6));
+}
+
+}  // namespace
+}  // namespace thistle
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -150,6 +150,30 @@
   EXPECT_TRUE(c.submit_until("j-2", 20));
 }
 
+// The key that an ended process left is there for as long as its hold (here for ever): the process that comes back under its
+// name knows that it has ended, and takes it away, and another one leads. The key of any other name stays.
+TEST(Leadership, TheLeadOfItsOwnEarlierProcessIsGivenBackAndNoOther) {
+  Cluster c(3);
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  const auto begin_anew_under = [&](const std::string& label) {
+    for (std::size_t i = 0; i < 3; ++i) c.stop(i);
+    c.state.put(c.state.lead(), R"({"label":")" + label + R"(","incarnation":7})");
+    const auto left = c.state.epoch();
+    for (std::size_t i = 0; i < 3; ++i) c.start(i, {});
+    return left;
+  };
+  const auto left = begin_anew_under("host-1");
+  EXPECT_TRUE(c.eventually(10, [&] { return c.state.epoch() > left && !c.state.leader().empty(); }));
+  EXPECT_TRUE(c.submit_until("j-2", 20));
+  EXPECT_EQ(c.state.unfenced(), 0u);
+
+  const auto others = begin_anew_under("host-7");
+  EXPECT_FALSE(c.eventually(2, [&] { return c.state.epoch() != others; }));
+  EXPECT_TRUE(c.submit(0, "j-3").is(503));
+  c.state.remove(c.state.lead());
+  EXPECT_TRUE(c.submit_until("j-3", 20));
+}
+
 // Users of three controllers, while the state service's doors refuse, lose, delay and repeat at random and holds end.
 TEST(Leadership, WhatUsersWereToldHoldsOnADayOfRandomTrouble) {
   Cluster c(3, 7);
