--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -47,7 +47,10 @@
     Lock lock(mutex_);
     if (beat->epoch >= known_epoch_) {
       last_beat_ = steady_now();
+      // The same controller, and a later takeover: its process began anew and leads once more.
+      const bool anew = beat->label == known_leader_ && known_takeover_ != UINT64_MAX && beat->takeover > known_takeover_;
       known_takeover_ = beat->takeover;
+      if (anew && role_ == Role::follower) new_lead(true);
       if (role_ == Role::follower) custody_.heard(beat->takeover);
       if (role_ != Role::follower && beat->epoch > term_->epoch) {
         learn(beat->epoch, beat->label);
@@ -108,7 +111,7 @@
   // All that users ask may be asked again: what a leader left unanswered goes to the next one, once, if time remains.
   for (int tries = 0; tries < 2; ++tries) {
     FramePool* pool = leader_pool();
-    const std::string leader = known_leader_;
+    const auto lead = leads_known_;
     const double asked = steady_now(), left = began + kForwardTimeout - asked;
     if (!pool || left <= 0) break;
     known = true;
@@ -123,7 +126,7 @@
       lock.unlock();
       return on_user(route, call.body);
     }
-    if (known_leader_ == leader || known_leader_.empty()) {
+    if (leads_known_ == lead || known_leader_.empty()) {
       if (reply) return *reply;
       break;
     }
@@ -222,7 +225,9 @@
   } else {
     reply = error_reply(404, "no such job");
   }
-  reply.valid_until = term_->valid_until;
+  // No longer than any way to the user takes: whoever leads next waits for that where this lead ends before its hold does.
+  reply.valid_until = std::min(term_->valid_until, steady_now() + kAnswerLife);
+  answers_until_ = std::max(answers_until_, reply.valid_until);
   return reply;
 }
 
