Served by team and class in /metrics; the rig ends controllers in each step and brings them back at once

Served, a pure part, counts jobs accepted, started, done, by deadline, given up on, and seconds of replicas asked for and up, from the records that a leader wrote itself: summed over controllers each step counts once, whoever led. Counts end with their process, as any counter's; the ledger keeps no class of a job that has ended.

--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -1,6 +1,7 @@
 // thistlefront-rig: plays troubles on a stand-in cluster with real controllers, and checks the protocol's
 // rules.
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -19,6 +20,7 @@
   std::string older, newer;
   double seconds = 40, settle = 60;
   unsigned level = 3;  // that the newer build has
+  double restart_after = 1;  // seconds at most
   bool back = false, verbose = false;
 };
 
@@ -187,6 +189,77 @@
   return play.verdict(more) && well;
 }
 
+// Controllers ended in each step of what they do with the state service (the request executed or not), and at any moment, and
+// back within a fraction of a second, one, some or all, often in a row.
+bool restarts(const Plan& plan) {
+  Play play(plan);
+  const auto n = plan.cluster.controllers;
+  auto& cluster = play.cluster;
+  for (std::size_t i = 0; i < n; ++i) play.start(i, true);
+  const auto serves = [&](double within_s) {
+    unsigned dice = play.random();
+    for (const double until = steady_now() + within_s; steady_now() < until; wait(0.01))
+      if (cluster.ask("GET", "/v1/jobs/j-9", "", dice).is(404)) return true;
+    return false;
+  };
+  const auto end = [&](std::size_t i) {
+    auto& door = cluster.state.door(i);
+    const auto fuse = static_cast<int>(play.random() % 12);
+    if (play.random() % 3 != 0) {
+      door.executes = play.random() % 2 == 0;
+      door.fuse = fuse;
+      for (const double until = steady_now() + 2; !door.blown && steady_now() < until;) wait(0.002);
+    }
+    play.say("host-" + std::to_string(i) + " ends" +
+             (door.blown ? " at request " + std::to_string(fuse) + (door.executes ? ", executed" : "") : ""));
+    cluster.end(i);
+    door.fuse = -1;
+    door.blown = false;
+    ++play.events;
+  };
+  std::vector<double> back;
+  std::size_t never = 0;
+  bool well = serves(10);
+  while (!play.over()) {
+    if (play.random() % 4 == 0) {
+      for (auto k = 1 + play.random() % 3; k > 0; --k, wait(0.3)) play.trouble();
+      play.heal();
+      for (std::size_t i = 0; i < n; ++i) play.start(i, true);
+      well = serves(15) && well;
+      continue;
+    }
+    const auto which = play.random() % 5;
+    double last_end = 0;
+    for (auto rounds = 1 + play.random() % 4; rounds > 0; --rounds) {
+      std::vector<std::size_t> ended;
+      if (which == 0) {
+        for (std::size_t i = 0; i < n; ++i) cluster.end(i), ended.push_back(i);
+        ++play.events;
+      } else {
+        ended.push_back(which == 1 ? play.random() % n : std::min(cluster.leader(), n - 1));
+        end(ended.back());
+      }
+      last_end = steady_now();
+      wait(std::uniform_real_distribution<double>(0.05, plan.restart_after)(play.random));
+      for (const auto i : ended) play.start(i, true);
+    }
+    if (serves(10)) {
+      back.push_back(steady_now() - last_end);
+    } else {
+      ++never;
+    }
+    wait(0.2 * (play.random() % 10));
+  }
+  play.heal();
+  well = serves(10) && well;
+  wait(8);
+  std::sort(back.begin(), back.end());
+  const auto at = [&](double share) { return back.empty() ? 0 : back[static_cast<std::size_t>(share * (back.size() - 1))]; };
+  return play.verdict("back after " + std::to_string(at(0.5)) + " s at the median, " + std::to_string(at(1)) +
+                      " s at most, " + std::to_string(never) + " times not within 10 s, ") &&
+         well && never == 0;
+}
+
 // Limits changed by settings files that are rolled out controller by controller, in the middle of troubles,
 // over and over.
 bool change_limits(const Plan& plan) {
@@ -270,6 +343,12 @@
       app.add_subcommand("limits", "teams' limits changed by files that are rolled out under trouble");
   common(limits);
   limits->callback([&] { play = change_limits; });
+  auto* again = app.add_subcommand("restarts", "controllers ended in each step, and back within a fraction of a second");
+  common(again);
+  again->add_option("--restart-after", plan.restart_after, "seconds at most until a controller is back")
+      ->check(CLI::Range(0.06, 60.0))
+      ->capture_default_str();
+  again->callback([&] { play = restarts; });
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   std::size_t failed = 0;
--- a/rig/state_service.hpp
+++ b/rig/state_service.hpp
@@ -47,6 +47,11 @@
     std::atomic<double> loses{0};         // share of transactions that are executed, and whose answer never comes
     std::atomic<double> late{0};          // share of transactions that are executed after their sender gave up
     std::atomic<double> repeats{0};       // share of transactions that are executed once more, later
+    // So many requests more (watches and renewals aside), and at the next its controller is to end: the request is executed
+    // or not, and nobody answers it. Below 0: none.
+    std::atomic<int> fuse{-1};
+    std::atomic<bool> executes{true};
+    std::atomic<bool> blown{false};  // now; whoever ends the controller takes it back
     std::unique_ptr<HttpServer> server;
   };
 
@@ -206,6 +211,15 @@
   HttpReply on(Door& door, const HttpCall& call) {
     const std::string target(call.target);
     std::unique_lock lock(mutex_);
+    const bool counts = !target.starts_with("/follow") && !target.ends_with("/renew");
+    if (counts && door.fuse >= 0 && --door.fuse < 0) {
+      if (door.executes) dispatch(door, lock, std::string(call.method), target, std::string(call.body));
+      door.blown = true;
+      while (door.blown && !ending_) changed_.wait_for(lock, std::chrono::milliseconds(2));
+      HttpReply none{503, "{}"};
+      none.close = true;
+      return none;
+    }
     HttpReply reply = dispatch(door, lock, std::string(call.method), target, std::string(call.body));
     while (door.frozen && !ending_) changed_.wait_for(lock, std::chrono::milliseconds(20));
     return reply;
--- /dev/null
+++ b/src/bookkeeping/served.hpp
@@ -0,0 +1,51 @@
+// What was served, by team and class: counted by a leader from the records that it wrote itself, so that the sum over all
+// controllers counts each job's steps once, whoever led. Pure. A controller's counts end with its process, as any counter's.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "bookkeeping/book.hpp"
+
+namespace thistle {
+
+class Served {
+ public:
+  struct Figures {
+    std::uint64_t accepted = 0, started = 0;  // jobs; started: its first task, or its gang
+    std::uint64_t done = 0;
+    std::uint64_t due = 0, in_time = 0;          // of those done: with a deadline, and by it
+    std::uint64_t withdrawn_unstarted = 0;       // their users gave up before anything ran
+    double replica_s = 0, replica_up_s = 0;      // of services: seconds asked for, and running
+    friend bool operator==(const Figures&, const Figures&) = default;
+  };
+  // Classes that `classes` does not name are counted together, as "other".
+  explicit Served(std::set<std::string> classes) : classes_(std::move(classes)) {}
+
+  // This record of its own is in the ledger; `book` is as it is before it is applied, and `wall` seconds.
+  void before(const Record& record, const Book& book);
+  void after(const Record& record, const Book& book, double wall);
+  // The services of the book for the seconds since the last look.
+  void look(const Book& book, double seconds);
+
+  using Key = std::pair<std::string, std::string>;  // team, class
+  [[nodiscard]] const std::map<Key, Figures>& figures() const { return figures_; }
+
+ private:
+  [[nodiscard]] Key key_of(const Submission& spec) const;
+  Figures& of(const Submission& spec) { return figures_[key_of(spec)]; }
+
+  std::set<std::string> classes_;
+  std::map<Key, Figures> figures_;
+  // The job that the record at hand may end: an ended one no longer says whose it was.
+  struct Ending {
+    Key key;
+    std::optional<double> due_at;  // wall seconds
+  };
+  std::optional<Ending> ending_;
+};
+
+}  // namespace thistle
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 #include <system_error>
 
 #include "bookkeeping/waiting.hpp"
@@ -15,6 +16,7 @@
 namespace {
 constexpr double kLongWait = 60.0;     // seconds without a start: told
 constexpr double kWaitsPeriod = 30.0;  // seconds between looks at what waits
+constexpr double kServedGap = 10.0;    // a longer one was not looked at by this leader
 constexpr double kCloudTimeout = 5.0;
 constexpr double kFlavorsPeriod = 120.0;
 constexpr double kRefusedPause = 20.0;      // after "no capacity"
@@ -238,7 +240,10 @@
 void Controller::watch_starts() {
   Lock lock(mutex_);
   const double now = steady_now();
+  // A gap of more than a few looks is not this leader's to count.
+  const double since = std::exchange(served_looked_at_, now);
   if (!decisive()) return;
+  if (now - since < kServedGap) served_.look(*term_->book, now - since);
   if (start_watch_.tell(now))
     spdlog::info("nothing has started for {:.0f} s though work fits: {} records wait for the ledger, the service's writes {}",
                  start_watch_.stalled(now), queue_.size(), store_failing_since_ != 0 ? "fail" : "go through");
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -15,6 +15,13 @@
   return (static_cast<std::uint64_t>(device()) << 31) ^ device();
 }
 
+std::set<std::string> named_classes(const Settings& settings) {
+  std::set<std::string> out;
+  for (const auto& o : settings.objectives)
+    if (!o.job_class.empty()) out.insert(o.job_class);
+  return out;
+}
+
 TeamsFile teams_file(const Settings& settings) {
   TeamsFile out;
   for (const auto& t : settings.teams) out[t.name] = {t.guarantee, t.limit};
@@ -35,7 +42,8 @@
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
       lines_(budget_.lines),
       began_(steady_now()),
-      custody_(custody_span(settings_.cancel_s, settings_.lease_s), began_) {
+      custody_(custody_span(settings_.cancel_s, settings_.lease_s), began_),
+      served_(named_classes(settings_)) {
   follower_since_ = began_;
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -14,6 +14,7 @@
 
 #include "bookkeeping/agreement.hpp"
 #include "bookkeeping/book.hpp"
+#include "bookkeeping/served.hpp"
 #include "coordination/budget.hpp"
 #include "coordination/counters.hpp"
 #include "coordination/histograms.hpp"
@@ -287,6 +288,8 @@
   void note_starts(const StartRecord& start);
   std::map<std::string, SecondsHistogram> start_waits_;  // by class: from acceptance to the start in the ledger
   SecondsHistogram accept_waits_, pass_times_, guarantee_waits_;
+  Served served_;
+  double served_looked_at_ = 0;  // steady seconds
 
   std::unique_ptr<FrameServer> frame_server_;
   std::unique_ptr<HttpServer> http_server_;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -295,7 +295,9 @@
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
       turnover_.add(cores_on_plain_machines(*term.book, *done), steady_now());
     }
+    served_.before(q.record, *term.book);
     term.book->apply(q.record);
+    served_.after(q.record, *term.book, wall_now());
     if (const auto* cancel = std::get_if<CancelRecord>(&q.record))
       if (const JobIdx j = term.book->find(cancel->uid); j.valid()) term.book->job(j).cancelled_at = steady_now();
     if (term.book->job_count() > jobs) term.tail.begins(draft.batch_in[i], JobIdx{static_cast<std::uint32_t>(jobs)});
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -406,6 +406,20 @@
     }
     line("accounts_amiss_total", counters_.amiss.load());
   }
+  for (const auto& [key, f] : served_.figures()) {
+    const auto of = [&](const char* what) {
+      return "{team=\"" + key.first + "\",class=\"" + key.second + "\",what=\"" + what + "\"}";
+    };
+    line(("served_jobs_total" + of("accepted")).c_str(), f.accepted);
+    line(("served_jobs_total" + of("started")).c_str(), f.started);
+    line(("served_jobs_total" + of("done")).c_str(), f.done);
+    line(("served_jobs_total" + of("due")).c_str(), f.due);
+    line(("served_jobs_total" + of("in_time")).c_str(), f.in_time);
+    line(("served_jobs_total" + of("withdrawn_unstarted")).c_str(), f.withdrawn_unstarted);
+    if (f.replica_s == 0) continue;
+    line(("served_replica_seconds_total" + of("asked")).c_str(), f.replica_s);
+    line(("served_replica_seconds_total" + of("up")).c_str(), f.replica_up_s);
+  }
   accept_waits_.print(out, "thistlefront_accept_seconds", "");
   guarantee_waits_.print(out, "thistlefront_guarantee_wait_seconds", "");
   pass_times_.print(out, "thistlefront_pass_seconds", "");
--- /dev/null
+++ b/tests/served_test.cpp
@@ -0,0 +1,81 @@
+// Each step of a job is counted once, by whoever wrote it.
+#include "bookkeeping/served.hpp"
+
+#include <gtest/gtest.h>
+
+#include "jobs.hpp"
+
+namespace thistle {
+namespace {
+
+Submission due(const std::string& uid, double due_s, const std::string& job_class = "c") {
+  auto s = submission(uid, 2, 1);
+  s.job_class = job_class;
+  s.due_s = due_s;
+  return s;
+}
+
+struct Leader {
+  Book book = book_of_red(100);
+  Served served{{"c", "web"}};
+  void write(const Record& record, double wall) {
+    served.before(record, book);
+    book.apply(record);
+    served.after(record, book, wall);
+  }
+};
+
+TEST(Served, CountsStartsOnceEndsByTheirDeadlineAndWhatWasGivenUpOn) {
+  Leader l;
+  for (const auto* uid : {"j-1", "j-2", "j-3"}) l.write(AcceptRecord{due(uid, 50), 0.5, 100}, 100);
+  l.write(AcceptRecord{due("j-1", 50), 0.5, 100}, 101);  // once more: it changes nothing
+  l.write(AcceptRecord{due("j-4", 50, "unheard-of"), 0.5, 100}, 101);
+  l.write(StartRecord{"j-1", 1, 110, {{"m-1", 1, {{0, 2}}}}}, 110);
+  l.write(OffRecord{"j-1", 1, {{1, 2}}}, 115);
+  l.write(StartRecord{"j-1", 2, 116, {{"m-1", 1, {{1, 2}}}}}, 116);
+  l.write(DoneRecord{"j-1", {{0, 1}}}, 120);
+  l.write(DoneRecord{"j-1", {{1, 2}}}, 140);
+  l.write(DoneRecord{"j-1", {{1, 2}}}, 141);
+  l.write(StartRecord{"j-2", 1, 130, {{"m-1", 1, {{0, 2}}}}}, 130);
+  l.write(DoneRecord{"j-2", {{0, 2}}}, 151);
+  l.write(CancelRecord{"j-3"}, 160);
+  const Served::Figures c{3, 2, 2, 2, 1, 1, 0, 0}, other{1, 0, 0, 0, 0, 0, 0, 0};
+  EXPECT_EQ(l.served.figures(), (std::map<Served::Key, Served::Figures>{{{"red", "c"}, c}, {{"red", "other"}, other}}));
+}
+
+// The successor reads what the one before wrote, counts none of it, and goes on: both together are the whole.
+TEST(Served, OverATakeoverTheSumOfBothIsTheWhole) {
+  Leader first;
+  const std::vector<Record> written{AcceptRecord{due("j-1", 50), 0.5, 100}, AcceptRecord{due("j-2", 50), 0.5, 100},
+                                    StartRecord{"j-1", 1, 110, {{"m-1", 1, {{0, 2}}}}}};
+  for (const auto& r : written) first.write(r, 110);
+  Leader next;
+  for (const auto& r : written) next.book.apply(r);
+  next.write(DoneRecord{"j-1", {{0, 2}}}, 120);
+  next.write(StartRecord{"j-2", 1, 125, {{"m-1", 1, {{0, 2}}}}}, 125);
+  const auto& a = first.served.figures().at({"red", "c"});
+  const auto& b = next.served.figures().at({"red", "c"});
+  EXPECT_EQ(a.accepted + b.accepted, 2u);
+  EXPECT_EQ(a.started + b.started, 2u);
+  EXPECT_EQ(a.done + b.done, 1u);
+  EXPECT_EQ(b.in_time, 1u);
+}
+
+TEST(Served, ReplicasCountWhileTheyRun) {
+  Leader l;
+  auto web = submission("j-1", 4, 1);
+  web.shape = Shape::service;
+  web.job_class = "web";
+  l.write(AcceptRecord{web, 0.5, 100}, 100);
+  l.write(StartRecord{"j-1", 1, 110, {{"m-1", 1, {{0, 3}}}}}, 110);
+  auto& first = l.book.job(l.book.find("j-1")).placed.at(0);
+  first.phase = Phase::running;
+  first.seen = true;
+  l.served.look(l.book, 2);
+  const auto& f = l.served.figures().at({"red", "web"});
+  EXPECT_DOUBLE_EQ(f.replica_s, 8);
+  EXPECT_DOUBLE_EQ(f.replica_up_s, 2);
+}
+
+}  // namespace
+}  // namespace thistle
