--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -29,6 +29,7 @@
 #include "fleet/due_workers.hpp"
 #include "ledger/tail.hpp"
 #include "ledger/write_budget.hpp"
+#include "planning/floor.hpp"
 #include "planning/planner.hpp"
 #include "planning/renting.hpp"
 #include "planning/turnover.hpp"
@@ -165,6 +166,8 @@
   PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
   void keep_accelerators(PlanInput& in, double steady);
+  // What has waited long with nothing of it running goes first, as far as the floor's share lasts; which that is.
+  std::set<JobIdx> raise_starving(PlanInput& in, double wall, double steady, const std::set<JobIdx>& within);
   // The aims for the wait of this class, as the settings name them.
   const std::vector<double>& wait_aims(const std::string& job_class) const;
   double patience_of(const Job& job, double wall) const;
@@ -254,6 +257,7 @@
     double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
   Turnover turnover_;
+  Floor floor_;
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   DueWorkers due_;
   KeptLines lines_;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "coordination/controller.hpp"
 #include "planning/preemption.hpp"
@@ -280,6 +281,40 @@
   return in;
 }
 
+// On a day of 20 guest teams that asked for half the fleet again, arrays of the lowest rank hardly ever ran.
+std::set<JobIdx> Controller::raise_starving(PlanInput& in, double wall, double steady, const std::set<JobIdx>& within) {
+  const Book& book = *term_->book;
+  floor_.earn(turnover_.rate(steady), steady);
+  floor_.keep_spared(book);
+  std::vector<Floor::Starving> starving;
+  int highest = 0;
+  for (std::size_t i = 0; i < in.jobs.size(); ++i) {
+    const PlanJob& p = in.jobs[i];
+    const Job& job = book.job(p.job);
+    // What guarantees leave: nothing is given away while work within one waits.
+    if (within.contains(p.job)) return {};
+    if (!p.service) highest = std::max(highest, p.tier);
+    const double waited = wall - job.accepted_at;
+    if (p.service || p.suspect || p.need.accelerators > 0 || !job.placed.empty() || waited < kStarvesAfter) continue;
+    starving.push_back({i, p.job, waited, p.need.cores * (p.gang ? p.units : 1), p.gang ? 1 : p.units});
+  }
+  std::erase_if(starving, [&](const auto& s) { return in.jobs[s.at].tier >= highest; });
+  std::set<JobIdx> out;
+  for (const auto& r : floor_.raise(std::move(starving))) {
+    PlanJob& p = in.jobs[r.at];
+    const int usual = std::exchange(p.tier, std::min(highest + 1, 2 * static_cast<int>(Rank::prod) - 1));
+    out.insert(p.job);
+    if (p.gang || p.units <= r.units) continue;
+    // The rest keeps its place, and still counts for what is rented; not where its zones hang together.
+    PlanJob rest = p;
+    rest.tier = usual;
+    rest.units = p.units - r.units;
+    p.units = r.units;
+    if (!rest.one_zone && rest.zone_cap == UINT32_MAX) in.jobs.push_back(std::move(rest));
+  }
+  return out;
+}
+
 void Controller::note_idle(double steady) {
   Book& book = *term_->book;
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
@@ -332,6 +367,7 @@
   note_idle(steady);
   const auto& within = term_->within = within_guarantee();
   auto input = plan_input(wall, steady, within);
+  const auto raised = raise_starving(input, wall, steady, within);
   // Units without a slot before a machine rented now could be up.
   double boots = kForever;
   for (const auto& f : book.flavors()) boots = std::min(boots, f.boot_s);
@@ -341,7 +377,7 @@
   // What is stopped here makes room that later passes give out, highest tier first.
   std::set<std::string> starts_count;
   for (const auto& [job_class, aims] : wait_aims_) starts_count.insert(job_class);
-  const auto preemption = choose_victims({book, input, plan, within, wall, turnover_.rate(steady), starts_count});
+  const auto preemption = choose_victims({book, input, plan, within, wall, turnover_.rate(steady), starts_count, floor_.spared()});
   for (const auto& s : preemption.waived)
     std::erase_if(plan.starts, [&](const Slot& p) { return p.job == s.job && p.host == s.host && p.at == s.at; });
   for (const auto& v : preemption.victims) {
@@ -355,6 +391,7 @@
   std::map<JobIdx, std::uint32_t> next_task;
   for (const auto& slot : plan.starts) {
     Job& job = book.job(slot.job);
+    if (raised.contains(slot.job)) floor_.started(slot.job, job.spec.need.cores * slot.count);
     auto& of_job = starts.try_emplace(slot.job, StartRecord{job.uid, job.attempts + 1, wall, {}}).first->second;
     const Host& host = book.host(slot.host);
     StartRecord::Part part{host.name, host.tenure, {}};
--- a/src/ledger/tail.hpp
+++ b/src/ledger/tail.hpp
@@ -47,7 +47,6 @@
   [[nodiscard]] bool old_entries() const { return first_ < same_level_from_; }
   [[nodiscard]] std::uint64_t count() const { return next_ - first_; }
   [[nodiscard]] std::uint64_t generation() const { return generation_; }
-  [[nodiscard]] Rewriter& rewriter() { return rewriter_; }
 
   struct Limits {
     std::size_t value_bytes = 0;  // an entry stays below
--- /dev/null
+++ b/src/planning/floor.hpp
@@ -0,0 +1,48 @@
+// A floor for what goes last. Rank goes before the key, so that where more of a higher rank is asked for than the fleet can do,
+// nothing below it ever runs. A small share of the cores that come free by themselves goes to the jobs of which nothing runs and
+// that have waited longest; nothing stops what it started for rank alone. Only what guarantees leave. Pure; times are steady
+// seconds.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "bookkeeping/book.hpp"
+
+namespace thistle {
+
+class Floor {
+ public:
+  struct Starving {
+    std::size_t at = 0;  // the caller's position of it
+    JobIdx job;
+    double waited_s = 0;
+    double unit_cores = 0;
+    std::uint32_t units = 0;
+  };
+  struct Raised {
+    std::size_t at = 0;
+    std::uint32_t units = 0;
+    friend bool operator==(const Raised&, const Raised&) = default;
+  };
+  // `rate`: cores that come free in a second, lately.
+  void earn(double rate, double now);
+  // Which go first in this pass, and how many units of each: the longest wait first, as far as what was earned lasts. One
+  // unit is never too large: what it takes beyond is owed, and earned before the next one.
+  [[nodiscard]] std::vector<Raised> raise(std::vector<Starving> starving) const;
+  // Units of a raised job were started.
+  void started(JobIdx job, double cores);
+  // Jobs that run by it are spared while anything of them runs; the others are forgotten.
+  void keep_spared(const Book& book);
+  [[nodiscard]] const std::set<JobIdx>& spared() const { return spared_; }
+
+ private:
+  double earned_ = 0, at_ = -1;  // cores
+  std::set<JobIdx> spared_;
+};
+
+// So long a job of which nothing runs has waited when the floor is for it: seconds.
+inline constexpr double kStarvesAfter = 60.0;
+
+}  // namespace thistle
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -84,7 +84,7 @@
   [[nodiscard]] bool may_stop(const PlanJob& claim, JobIdx v) const {
     const Job& victim = book_.job(v);
     const Job& job = book_.job(claim.job);
-    if (victim.spec.rank < job.spec.rank) return true;
+    if (victim.spec.rank < job.spec.rank && (job.spec.shape == Shape::service || !in_.spared.contains(v))) return true;
     if (victim.spec.rank > job.spec.rank || victim.team == job.team || !victim.team.valid()) return false;
     if (!in_.within_guarantee.contains(claim.job)) return false;
     // A job that lies within its own team's guarantee is no more beyond it because the team runs other work too:
--- a/src/planning/preemption.hpp
+++ b/src/planning/preemption.hpp
@@ -21,6 +21,7 @@
   double wall = 0;
   double turnover = 0;  // cores that come free in a second by themselves, lately, on machines without accelerators
   std::set<std::string> starts_count;  // job classes with an aim for their wait
+  const std::set<JobIdx>& spared;      // run by the floor: not stopped for rank alone
 };
 
 // Never of equal or higher rank, except work that another team runs beyond its guarantee, of no higher rank, for
--- a/src/rollout/levels.cpp
+++ b/src/rollout/levels.cpp
@@ -68,7 +68,6 @@
     out.leader = parse_leader(key->value);
     out.leader_stamp = key->stamp;
   }
-  out.parked = out.on.level > 1 && old_key;
   return out;
 }
 
--- a/src/rollout/levels.hpp
+++ b/src/rollout/levels.hpp
@@ -26,7 +26,6 @@
   std::uint64_t ready_stamp = 0;
   std::optional<LeaderValue> leader;  // of the key that counts at this level
   std::uint64_t leader_stamp = 0;     // the epoch
-  bool parked = false;                // kLeaderKey is there, and no process holds it
 };
 // Throws Malformed.
 Look look(const std::vector<Row>& rows);
--- /dev/null
+++ b/tests/floor_test.cpp
@@ -0,0 +1,85 @@
+// What goes last still gets a share, and no more than that.
+#include "planning/floor.hpp"
+
+#include <gtest/gtest.h>
+
+#include "planning/planner.hpp"
+
+namespace thistle {
+namespace {
+
+JobIdx job(std::uint32_t n) { return JobIdx{n}; }
+
+TEST(Floor, GivesWhatWasEarnedToTheLongestWait) {
+  Floor f;
+  f.earn(100, 0);
+  EXPECT_TRUE(f.raise({{0, job(1), 90, 1, 50}}).empty()) << "nothing came free yet";
+  f.earn(100, 2);  // a twentieth of 200 cores
+  using R = std::vector<Floor::Raised>;
+  EXPECT_EQ(f.raise({{0, job(1), 90, 1, 4}, {1, job(2), 400, 2, 3}, {2, job(3), 70, 1, 9}}), (R{{1, 3}, {0, 4}}));
+  f.started(job(2), 6);
+  f.started(job(1), 4);
+  EXPECT_TRUE(f.raise({{0, job(3), 70, 1, 9}}).empty());
+}
+
+TEST(Floor, AGangIsNeverTooLargeAndWhatItTakesIsOwed) {
+  Floor f;
+  f.earn(100, 0);
+  f.earn(100, 1);
+  ASSERT_EQ(f.raise({{0, job(1), 90, 64, 1}}).size(), 1u);
+  f.started(job(1), 64);
+  f.earn(100, 10);  // 45 of the 59 owed
+  EXPECT_TRUE(f.raise({{0, job(2), 90, 1, 1}}).empty());
+  f.earn(100, 14);
+  EXPECT_EQ(f.raise({{0, job(2), 90, 1, 1}}).size(), 1u);
+}
+
+// A calm hour earns no more than some seconds' worth: what starves later gets a share, not the fleet.
+TEST(Floor, SavingsAreBounded) {
+  Floor f;
+  f.earn(100, 0);
+  for (double now = 1; now < 3600; ++now) f.earn(100, now);
+  EXPECT_EQ(f.raise({{0, job(1), 90, 1, 100000}}).at(0).units, 100u);
+}
+
+// A fleet of 100 cores, work of 10 s: twice as much of the higher rank is asked for as it can do, for ten minutes, beside one job
+// a second of the lowest rank. Without the floor nothing of that ever runs; with it all of it gets its share, and no more.
+TEST(Floor, UnderEndlessOverloadTheLowestRankIsServedInTurn) {
+  for (const bool with : {false, true}) {
+    Floor f;
+    double free = 100, high = 0, shared = 0, served = 0;
+    std::vector<std::pair<double, double>> ends;  // when, cores
+    std::vector<double> low;                      // since when each waits
+    for (double now = 0; now < 600; ++now) {
+      double came = 0;
+      std::erase_if(ends, [&](const auto& e) { return e.first <= now ? (came += e.second, true) : false; });
+      free += came;
+      high += 20;
+      if (static_cast<int>(now) % 4 == 0) low.push_back(now);
+      f.earn(came, now);
+      std::vector<Floor::Starving> starving;
+      for (std::size_t i = 0; i < low.size(); ++i)
+        if (now - low[i] > kStarvesAfter) starving.push_back({i, job(static_cast<std::uint32_t>(i)), now - low[i], 1, 1});
+      const auto raised = with ? f.raise(starving) : std::vector<Floor::Raised>{};
+      std::size_t taken = 0;
+      for (const auto& r : raised) {
+        if (free < 1) break;
+        f.started(job(static_cast<std::uint32_t>(r.at)), 1);
+        --free, ++shared, ++served, ++taken;
+        ends.emplace_back(now + 10, 1);
+      }
+      low.erase(low.begin(), low.begin() + static_cast<long>(taken));  // the longest wait is the first
+      const double n = std::min(free, high);
+      if (n > 0) ends.emplace_back(now + 10, n), free -= n, high -= n;
+    }
+    if (with) {
+      EXPECT_GT(served, 120);  // of 135 that starved
+      EXPECT_LT(shared, 0.06 * 600 * 10);
+    } else {
+      EXPECT_EQ(served, 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace thistle
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -48,12 +48,22 @@
     in.jobs.push_back(p);
     in.teams.assign(2, TeamRoom{{1e9, 1e9, 1e9}});
     const Plan plan = make_plan(in);
-    return choose_victims({book, in, plan, within, 1000, turnover, {}}).victims;
+    return choose_victims({book, in, plan, within, 1000, turnover, {}, spared}).victims;
   }
   Book book;
   double turnover = 0;
+  std::set<JobIdx> spared;
 };
 
+// What the floor started would be the first to go again: it is the freshest, of the lowest rank, on a full fleet.
+TEST_F(Preemption, WhatTheFloorStartedGivesWayToServicesAlone) {
+  spared.insert(add("j-1", "red", Shape::batch, Rank::idle, 4, 4));
+  EXPECT_TRUE(claim(add("j-2", "blue", Shape::batch, Rank::high, 1, 0), {}).empty());
+  EXPECT_EQ(claim(add("j-3", "blue", Shape::service, Rank::prod, 1, 0), {}).size(), 1u);
+  spared.clear();
+  EXPECT_EQ(claim(book.find("j-2"), {}).size(), 1u);
+}
+
 TEST_F(Preemption, ProductionStopsLowerRankButNeverItsEqual) {
   const auto batch = add("j-1", "red", Shape::batch, Rank::standard, 3, 3);
   add("j-2", "red", Shape::service, Rank::prod, 1, 1);
@@ -126,7 +136,7 @@
     const Plan plan = make_plan(in);
     ASSERT_EQ(plan.starts.size(), 1u);
     EXPECT_EQ(plan.starts[0].host, in.hosts[1].host);
-    const auto out = choose_victims({book, in, plan, {}, 1000, 0, {}});
+    const auto out = choose_victims({book, in, plan, {}, 1000, 0, {}, {}});
     EXPECT_EQ(out.victims.size(), ran < 10 ? 1u : 0u);
     EXPECT_EQ(out.waived.size(), out.victims.size());
   }
