The floor is a term's own: what it spared is numbered by that term's book

Found by reading right after the change: a controller that leads a second time would have looked up jobs of its earlier book by their numbers in the new one. It goes with the term, as all that is numbered by it.

--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -79,6 +79,7 @@
     double rewrote_at = 0;             // steady seconds of the last commit
     std::uint64_t teams_ticket = 0;    // of the terms of teams last sent on their way into the ledger
     std::set<JobIdx> within;           // their teams' guarantees, as the last pass saw it
+    Floor floor;                       // by the numbers of this term's book
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
@@ -257,7 +258,6 @@
     double machines = 0, widest = 0, at = 0, patience = 1e9;  // widest: of one gang
   };
   Turnover turnover_;
-  Floor floor_;
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   DueWorkers due_;
   KeptLines lines_;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -284,8 +284,8 @@
 // On a day of 20 guest teams that asked for half the fleet again, arrays of the lowest rank hardly ever ran.
 std::set<JobIdx> Controller::raise_starving(PlanInput& in, double wall, double steady, const std::set<JobIdx>& within) {
   const Book& book = *term_->book;
-  floor_.earn(turnover_.rate(steady), steady);
-  floor_.keep_spared(book);
+  term_->floor.earn(turnover_.rate(steady), steady);
+  term_->floor.keep_spared(book);
   std::vector<Floor::Starving> starving;
   int highest = 0;
   for (std::size_t i = 0; i < in.jobs.size(); ++i) {
@@ -300,7 +300,7 @@
   }
   std::erase_if(starving, [&](const auto& s) { return in.jobs[s.at].tier >= highest; });
   std::set<JobIdx> out;
-  for (const auto& r : floor_.raise(std::move(starving))) {
+  for (const auto& r : term_->floor.raise(std::move(starving))) {
     PlanJob& p = in.jobs[r.at];
     const int usual = std::exchange(p.tier, std::min(highest + 1, 2 * static_cast<int>(Rank::prod) - 1));
     out.insert(p.job);
@@ -377,7 +377,7 @@
   // What is stopped here makes room that later passes give out, highest tier first.
   std::set<std::string> starts_count;
   for (const auto& [job_class, aims] : wait_aims_) starts_count.insert(job_class);
-  const auto preemption = choose_victims({book, input, plan, within, wall, turnover_.rate(steady), starts_count, floor_.spared()});
+  const auto preemption = choose_victims({book, input, plan, within, wall, turnover_.rate(steady), starts_count, term_->floor.spared()});
   for (const auto& s : preemption.waived)
     std::erase_if(plan.starts, [&](const Slot& p) { return p.job == s.job && p.host == s.host && p.at == s.at; });
   for (const auto& v : preemption.victims) {
@@ -391,7 +391,7 @@
   std::map<JobIdx, std::uint32_t> next_task;
   for (const auto& slot : plan.starts) {
     Job& job = book.job(slot.job);
-    if (raised.contains(slot.job)) floor_.started(slot.job, job.spec.need.cores * slot.count);
+    if (raised.contains(slot.job)) term_->floor.started(slot.job, job.spec.need.cores * slot.count);
     auto& of_job = starts.try_emplace(slot.job, StartRecord{job.uid, job.attempts + 1, wall, {}}).first->second;
     const Host& host = book.host(slot.host);
     StartRecord::Part part{host.name, host.tenure, {}};
