--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -174,6 +174,23 @@
   EXPECT_TRUE(c.submit_until("j-3", 20));
 }
 
+// A process that ends for a cause of its own, over and over, must not use up what the state service allows: in its first second a
+// start costs one read, and one watch.
+TEST(Leadership, AStartCostsNoChangeBeforeItHasLivedForASecond) {
+  Cluster c(3);
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  const auto other = (c.leader() + 1) % 3;
+  c.stop(other);
+  auto& door = c.state.door(other);
+  door.fuse = 1;  // the second request finds nobody who answers
+  c.start(other, {});
+  EXPECT_TRUE(c.eventually(0.5, [&] { return door.fuse == 0; })) << "it looks who leads";
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  EXPECT_FALSE(door.blown);
+  EXPECT_TRUE(c.eventually(5, [&] { return door.blown.load(); })) << "then it enlists";
+  door.blown = false;
+}
+
 // Users of three controllers, while the state service's doors refuse, lose, delay and repeat at random and holds end.
 TEST(Leadership, WhatUsersWereToldHoldsOnADayOfRandomTrouble) {
   Cluster c(3, 7);
