Past the bound of connections users go before workers that hold tasks

Change: an answer to a report with tasks makes its connection dear; those go last. Shown by a test, which fails without it.

--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -326,7 +326,9 @@
   } else {
     early_answers_[report.host] = now;
   }
-  return {200, orders_body(term_->epoch, orders)};
+  HttpReply reply{200, orders_body(term_->epoch, orders)};
+  reply.dear = !report.pieces.empty();
+  return reply;
 }
 
 HttpReply Controller::health() {
--- a/src/transport/acceptor.cpp
+++ b/src/transport/acceptor.cpp
@@ -61,9 +61,13 @@
     }
     std::lock_guard lock(mutex_);
     if (connections_.size() >= most_) {
-      // Room for the newcomer comes from the connection that has said nothing for the longest time.
+      // Room for the newcomer comes from the connection that has said nothing for the longest time: a user's, before that of a
+      // worker that holds tasks.
       auto oldest = std::min_element(connections_.begin(), connections_.end(), [](auto& a, auto& b) {
-        return a->active_.load(std::memory_order_relaxed) < b->active_.load(std::memory_order_relaxed);
+        const auto rank = [](const auto& c) {
+          return std::pair(c->dear_.load(std::memory_order_relaxed), c->active_.load(std::memory_order_relaxed));
+        };
+        return rank(a) < rank(b);
       });
       if (oldest != connections_.end()) (*oldest)->stream.socket().shutdown();
       if (connections_.size() >= most_ + 16) continue;
--- a/src/transport/acceptor.hpp
+++ b/src/transport/acceptor.hpp
@@ -1,4 +1,5 @@
-// Accepts connections and gives each its own thread. At the bound, the connection longest idle is closed.
+// Accepts connections and gives each its own thread. At the bound, the connection longest idle is closed, and of those that are
+// dear one only where there is no other.
 #pragma once
 #include <atomic>
 #include <functional>
@@ -19,11 +20,13 @@
    public:
     explicit Connection(Socket socket) : stream(std::move(socket)) {}
     void touch();
+    void dear(bool is) { dear_.store(is, std::memory_order_relaxed); }
     Stream stream;
 
    private:
     friend class Acceptor;
     std::atomic<double> active_{0};
+    std::atomic<bool> dear_{false};
     std::stop_source stop_;
     // The last thing that its thread touches. The thread is detached, and is never waited for: a join in the accept loop did
     // not return once in a while though the thread was gone, and nothing was accepted any more by a controller that led on
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -47,6 +47,7 @@
       const auto method = request.method_string();
       const auto target = request.target();
       reply = handler_({{method.data(), method.size()}, {target.data(), target.size()}, request.body()});
+      connection.dear(reply.dear);
     }
     http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
     response.set(http::field::content_type, beast::string_view(reply.type.data(), reply.type.size()));
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -27,6 +27,7 @@
   // Steady seconds until when it may be given: looked at just before it is sent, for the process may have stood still
   // since it was made. Later it is a 503.
   double valid_until = std::numeric_limits<double>::infinity();
+  bool dear = false;  // of a connection that goes last where there are too many
 };
 
 class HttpServer {
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -92,6 +92,38 @@
   EXPECT_TRUE(lines.take(second)->connected());
 }
 
+// At times 1.5 the leader has a connection for each of 1,554 workers and room for few users: a crowd of those must not cost a worker
+// that holds tasks its own.
+TEST(HttpServer, PastItsBoundUsersGoBeforeWorkersThatHoldTasks) {
+  const auto address = testing_::free_address();
+  HttpServer server(address, 3, [](const HttpCall& call) {
+    HttpReply reply{200, "{}"};
+    reply.dear = call.target == "/dear";
+    return reply;
+  });
+  std::vector<std::unique_ptr<Stream>> workers, users;
+  char answer[1000];
+  ErrorCode ec;
+  const auto ask = [&](auto& streams, const std::string& target) {
+    streams.push_back(std::make_unique<Stream>(connect_to(address, 2)));
+    const std::string request = "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    streams.back()->deadline(steady_now() + 2);
+    EXPECT_TRUE(streams.back()->write_all(request.data(), request.size(), ec));
+    EXPECT_TRUE(streams.back()->read_exact(answer, 12, ec)) << "the beginning of the first line";
+  };
+  const auto closed = [&](Stream& stream) {
+    stream.deadline(steady_now() + 0.2);
+    stream.read_exact(answer, sizeof answer, ec);  // what is left of it, and then the end or nothing
+    return ec == boost::asio::error::eof;
+  };
+  ask(workers, "/dear");
+  ask(workers, "/dear");
+  for (int i = 0; i < 4; ++i) ask(users, "/");
+  for (auto& w : workers) EXPECT_FALSE(closed(*w));
+  EXPECT_TRUE(closed(*users[0])) << "the longest idle of the others";
+  EXPECT_FALSE(closed(*users[3]));
+}
+
 TEST(HttpClient, ACallThatIsLateSaysSoOnceAndStillGetsItsAnswer) {
   const auto address = testing_::free_address();
   HttpServer server(address, 10, [](const HttpCall&) {
