On rereading: one drift bound, one rule for naming classes, less repeated; behaviour as it was

The bound on clocks' drift stood in four places and is protocol's now; which classes are counted by name was decided once for waits and once for what was served, and is Served's. The lines of what was served, and the rig's three toggles, are written once. A comment stood above the wrong function; an unused include and Tail::count(), which nothing read, are gone.

--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -51,6 +51,10 @@
   void trouble() {
     const auto n = is_new.size(), i = random() % n, leader = std::min(cluster.leader(), n - 1);
     auto& door = cluster.state.door(i);
+    const auto toggle = [&](const char* what, std::atomic<double>& share, double to) {
+      say(std::string(what) + ", or no longer");
+      share = share > 0 ? 0 : to;
+    };
     ++events;
     switch (random() % 8) {
       case 0:
@@ -70,16 +74,13 @@
         door.refuses = !door.refuses;
         break;
       case 3:
-        say("answers are lost, or no longer");
-        door.loses = door.loses > 0 ? 0 : 0.3;
+        toggle("answers are lost", door.loses, 0.3);
         break;
       case 4:
-        say("transactions are late, or no longer");
-        door.late = door.late > 0 ? 0 : 0.2;
+        toggle("transactions are late", door.late, 0.2);
         break;
       case 5:
-        say("transactions are repeated, or no longer");
-        door.repeats = door.repeats > 0 ? 0 : 0.3;
+        toggle("transactions are repeated", door.repeats, 0.3);
         break;
       case 6:
         say("an outage");
--- a/src/bookkeeping/served.cpp
+++ b/src/bookkeeping/served.cpp
@@ -11,10 +11,6 @@
 }
 }  // namespace
 
-Served::Key Served::key_of(const Submission& spec) const {
-  return {spec.owner, classes_.contains(spec.job_class) ? spec.job_class : "other"};
-}
-
 void Served::before(const Record& record, const Book& book) {
   if (const auto* accept = std::get_if<AcceptRecord>(&record)) {
     if (!book.find(accept->job.uid).valid()) ++of(accept->job).accepted;
--- a/src/bookkeeping/served.hpp
+++ b/src/bookkeeping/served.hpp
@@ -24,6 +24,9 @@
   };
   // Classes that `classes` does not name are counted together, as "other".
   explicit Served(std::set<std::string> classes) : classes_(std::move(classes)) {}
+  [[nodiscard]] std::string counted_as(const std::string& job_class) const {
+    return classes_.contains(job_class) ? job_class : "other";
+  }
 
   // This record of its own is in the ledger; `book` is as it is before it is applied, and `wall` seconds.
   void before(const Record& record, const Book& book);
@@ -35,7 +38,7 @@
   [[nodiscard]] const std::map<Key, Figures>& figures() const { return figures_; }
 
  private:
-  [[nodiscard]] Key key_of(const Submission& spec) const;
+  [[nodiscard]] Key key_of(const Submission& spec) const { return {spec.owner, counted_as(spec.job_class)}; }
   Figures& of(const Submission& spec) { return figures_[key_of(spec)]; }
 
   std::set<std::string> classes_;
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -2,8 +2,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
-#include <system_error>
 
 #include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
@@ -208,8 +208,6 @@
   release(cloud, mute, "up and never heard of");
 }
 
-// Not the one to judge is a leader that hears most machines by way of its peers, or not at all just now: in the first
-// seconds of a cut from the workers, 12 sound ones were released. One that is short of processor time hears late.
 // A worker that has fallen silent while the others report is most likely on a dead or hanging machine. Its lease may
 // have long to run; an answered release ends it for certain, so that its services can start elsewhere at once.
 void Controller::probe(std::vector<Probe>& probes) {
@@ -282,6 +280,8 @@
   if (decisive()) term_->hand_over = "the workers reach other controllers, and not this one";
 }
 
+// Not the one to judge is a leader that hears most machines by way of its peers, or not at all just now: in the first
+// seconds of a cut from the workers, 12 sound ones were released. One that is short of processor time hears late.
 std::vector<HostIdx> Controller::doubtful_machines() const {
   const double now = steady_now();
   const auto heard = hearing(*term_->book, now, kDirectReports * settings_.report_s);
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -11,7 +11,6 @@
 namespace thistle {
 
 namespace {
-constexpr double kClockDrift = 0.001;
 constexpr double kValidMargin = 0.05;
 constexpr double kBeatPeriod = 0.5;
 constexpr unsigned kFollowMs = 10000;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -66,11 +66,9 @@
   const JobIdx j = term_->book->find(start.uid);
   if (!j.valid() || term_->book->job(j).ended()) return;
   const Job& job = term_->book->job(j);
-  const auto& named = settings_.objectives;
-  const bool known = std::any_of(named.begin(), named.end(), [&](const auto& o) { return o.job_class == job.spec.job_class; });
   if (term_->within.contains(j)) guarantee_waits_.add(wall_now() - job.accepted_at);
   // One for each start: a job's tasks that start together waited alike.
-  start_waits_[known ? job.spec.job_class : "other"].add(wall_now() - job.accepted_at);
+  start_waits_[served_.counted_as(job.spec.job_class)].add(wall_now() - job.accepted_at);
 }
 
 void Controller::tell_blame() {
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -409,18 +409,18 @@
     line("accounts_amiss_total", counters_.amiss.load());
   }
   for (const auto& [key, f] : served_.figures()) {
-    const auto of = [&](const char* what) {
-      return "{team=\"" + key.first + "\",class=\"" + key.second + "\",what=\"" + what + "\"}";
+    const auto served = [&](const std::string& name, const char* what, auto value) {
+      line((name + "{team=\"" + key.first + "\",class=\"" + key.second + "\",what=\"" + what + "\"}").c_str(), value);
     };
-    line(("served_jobs_total" + of("accepted")).c_str(), f.accepted);
-    line(("served_jobs_total" + of("started")).c_str(), f.started);
-    line(("served_jobs_total" + of("done")).c_str(), f.done);
-    line(("served_jobs_total" + of("due")).c_str(), f.due);
-    line(("served_jobs_total" + of("in_time")).c_str(), f.in_time);
-    line(("served_jobs_total" + of("withdrawn_unstarted")).c_str(), f.withdrawn_unstarted);
+    served("served_jobs_total", "accepted", f.accepted);
+    served("served_jobs_total", "started", f.started);
+    served("served_jobs_total", "done", f.done);
+    served("served_jobs_total", "due", f.due);
+    served("served_jobs_total", "in_time", f.in_time);
+    served("served_jobs_total", "withdrawn_unstarted", f.withdrawn_unstarted);
     if (f.replica_s == 0) continue;
-    line(("served_replica_seconds_total" + of("asked")).c_str(), f.replica_s);
-    line(("served_replica_seconds_total" + of("up")).c_str(), f.replica_up_s);
+    served("served_replica_seconds_total", "asked", f.replica_s);
+    served("served_replica_seconds_total", "up", f.replica_up_s);
   }
   accept_waits_.print(out, "thistlefront_accept_seconds", "");
   guarantee_waits_.print(out, "thistlefront_guarantee_wait_seconds", "");
--- a/src/duties/backing.cpp
+++ b/src/duties/backing.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 
+#include "protocol/types.hpp"
+
 namespace thistle {
 
 namespace {
-constexpr double kClockDrift = 0.001;
 constexpr double kAnswerLag = 1.0;  // an answer to a worker made within the grace may reach it so much later
 }  // namespace
 
--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 
+#include "protocol/types.hpp"
+
 namespace thistle {
 
 namespace {
-constexpr double kClockDrift = 0.001;
 constexpr double kMargin = 0.3;
 constexpr double kDetached =
     3.0;  // seconds without an answer of the leader before a follower goes on without it
--- a/src/fleet/dealings.cpp
+++ b/src/fleet/dealings.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Clocks of different machines diverge by at most this share.
-constexpr double kClockDrift = 0.001;
 constexpr double kExpiryMargin = 0.3;
 constexpr double kNoRoomPause = 3.0;
 constexpr double kProven = 15.0;  // a replica that has served for this long shows that its job and its machine work
--- a/src/ledger/tail.hpp
+++ b/src/ledger/tail.hpp
@@ -45,7 +45,6 @@
   [[nodiscard]] std::uint32_t level() const { return level_; }
   // Some entries are of another level than the one that is written.
   [[nodiscard]] bool old_entries() const { return first_ < same_level_from_; }
-  [[nodiscard]] std::uint64_t count() const { return next_ - first_; }
   [[nodiscard]] std::uint64_t generation() const { return generation_; }
 
   struct Limits {
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -11,6 +11,9 @@
 
 namespace thistle {
 
+// Steady clocks of different machines diverge by at most this share, with some to spare.
+inline constexpr double kClockDrift = 0.001;
+
 // A dense index; the tag keeps jobs, hosts and the rest apart.
 template <class Tag>
 struct Index {
