--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -69,6 +69,9 @@
   const JobIdx j = term_->book->find(start.uid);
   if (!j.valid() || term_->book->job(j).ended()) return;
   const Job& job = term_->book->job(j);
+  if (job.attempts == 0)
+    spdlog::debug("{}: begins, {} {} of {} tasks, after {:.1f} s", job.uid, job.spec.job_class,
+                  job.spec.shape == Shape::group ? "gang" : "job", job.tasks.size(), wall_now() - job.since);
   if (term_->within.contains(j)) guarantee_waits_.add(wall_now() - job.since);
   // One for each start: a job's tasks that start together waited alike.
   start_waits_[served_.counted_as(job.spec.job_class)].add(wall_now() - job.since);
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -90,5 +90,26 @@
   EXPECT_TRUE(checker.broken()[3].starts_with("went_back"));
 }
 
+TEST_F(RigChecker, WhatStartsBeforeWhatItWaitsForOrOutlivesItsCancellationIsTold) {
+  checker.submitted({"j-2", "red", "batch", "", 1, 1, 1, {"j-1"}}, 100);
+  checker.submitted({"j-3", "red", "batch", "", 1, 1, 1, {"j-2"}}, 100);
+  checker.told("j-1", "queued", 100), checker.told("j-2", "queued", 100), checker.told("j-3", "queued", 100);
+  checker.on("j-1", 0, "m-1", "x", 101);
+  checker.off("j-1", 0, "m-1", true, 102);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.on("j-2", 0, "m-1", "x", 103);
+  ASSERT_EQ(checker.broken().size(), 1u) << "one of the two tasks of j-1 is left";
+  EXPECT_NE(checker.broken()[0].find("too_early: j-2/0"), std::string::npos);
+  checker.wants_withdrawn("j-1");
+  checker.told("j-1", "aborted", 105);
+  checker.told("j-3", "queued", 114);
+  EXPECT_EQ(checker.broken().size(), 1u);
+  checker.told("j-2", "aborted", 114);
+  EXPECT_EQ(checker.broken().size(), 1u) << "cancelled through another, though its own user asked for nothing";
+  checker.told("j-3", "queued", 116);
+  ASSERT_EQ(checker.broken().size(), 2u);
+  EXPECT_NE(checker.broken()[1].find("orphaned: j-3"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace thistle::rig
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -223,6 +223,101 @@
   EXPECT_EQ(c.state.unfenced(), 0u);
 }
 
+std::string waiting_body(const std::string& uid, const nlohmann::json& names, std::uint32_t pieces = 2) {
+  auto j = nlohmann::json::parse(testing_::job_body(uid));
+  j["waitsOn"] = names;
+  j["pieces"] = pieces;
+  return j.dump();
+}
+
+// As its users meet it: refused for a while until all controllers have the level, and then, whoever is asked and whoever
+// leads, accepted, refused for good, cancelled through another.
+TEST(Rollout, JobsThatWaitForOthersComeWithTheLevelAndAreKnownToEachLeader) {
+  Tuning now;
+  now.state_level_soak_s = 0;
+  Tuning before = now;
+  before.state_level_reads = 3;
+  Cluster c(3, 1, {now, now, before});
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  ASSERT_TRUE(c.eventually(20, [&] { return c.level() == R"({"level":3})"; }));
+  const auto submit = [&](std::size_t node, const std::string& uid, const nlohmann::json& names) {
+    return c.ask(node, "POST", "/v1/jobs", waiting_body(uid, names));
+  };
+  for (std::size_t i = 0; i < 3; ++i) {
+    const auto r = submit(i, "j-2", {"j-1"});
+    EXPECT_TRUE(r.is(503)) << "never taken as if it waited for nothing";
+    EXPECT_TRUE(submit(i, "j-2", "j-1").is(400) || submit(i, "j-2", "j-1").is(503));
+  }
+  EXPECT_TRUE(c.eventually(10, [&] { return submit(0, "j-1", {"j-77"}).is(200); })) << "known, and not judged anew";
+  EXPECT_TRUE(c.eventually(10, [&] { return submit(1, "j-3", nlohmann::json::array()).is(201); })) << "waits for none";
+  c.start(2, now);
+  ASSERT_TRUE(c.eventually(20, [&] { return submit(0, "j-2", {"j-1", "j-1", "j-3"}).is(201); }));
+  EXPECT_EQ(c.level(), R"({"level":4})");
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_TRUE(submit(i, "j-9", {"j-77"}).is(422)) << "never accepted";
+    EXPECT_TRUE(submit(i, "j-9", {"j-9"}).is(422));
+    EXPECT_TRUE(submit(i, "j-9", {"J-1"}).is(400));
+    EXPECT_TRUE(submit(i, "j-9", 7).is(400));
+    EXPECT_TRUE(submit(i, "j-2", {"j-77"}).is(200));
+  }
+  ASSERT_TRUE(submit(1, "j-4", {"j-2"}).is(201));
+  const auto is = [&](const std::string& uid, const std::string& status) {
+    for (std::size_t i = 0; i < 3; ++i)
+      if (c.ask(i, "GET", "/v1/jobs/" + uid).body.find(status) == std::string::npos) return false;
+    return true;
+  };
+  EXPECT_TRUE(c.eventually(10, [&] { return is("j-4", "queued"); }));
+  ASSERT_TRUE(c.eventually(10, [&] { return c.ask(2, "POST", "/v1/jobs/j-3/withdraw").is(200); }));
+  EXPECT_TRUE(is("j-2", "aborted") && is("j-4", "aborted"));
+  EXPECT_TRUE(is("j-1", "queued"));
+  const auto late = submit(0, "j-5", {"j-4", "j-1"});
+  EXPECT_TRUE(late.is(201)) << "accepted all the same";
+  EXPECT_NE(late.body.find("aborted"), std::string::npos);
+  for (int i = 0; i < 2; ++i) {
+    c.state.end_holds();
+    EXPECT_TRUE(c.eventually(20, [&] { return is("j-4", "aborted") && is("j-5", "aborted") && is("j-1", "queued"); }));
+  }
+  EXPECT_EQ(c.state.unfenced(), 0u);
+}
+
+// The state service takes a quarter from some moment on: with entries of both sizes, and the largest job that is taken.
+TEST(Rollout, LoweredLimitsOfTheStateServiceStopNothing) {
+  Tuning now;
+  now.state_level_soak_s = 0;
+  Cluster c(3, 1, {now});
+  ASSERT_TRUE(c.eventually(20, [&] { return c.level() == R"({"level":4})"; }));
+  for (int i = 0; i < 40; ++i) ASSERT_TRUE(c.submit_until("j-1" + std::to_string(i), 20));
+  for (std::size_t i = 0; i < 3; ++i) c.settings(i).value_kb = 2, c.settings(i).txn_ops = 4;
+  for (std::size_t i = 0; i < 3; ++i) c.start(i, now);
+  ASSERT_TRUE(c.submit_until("j-20", 20));
+  c.state.limit(2048, 4);
+  nlohmann::json names = nlohmann::json::array();
+  for (int i = 0; i < 40; ++i) names.push_back("j-1" + std::to_string(i));
+  EXPECT_TRUE(c.eventually(20, [&] { return c.ask(0, "POST", "/v1/jobs", waiting_body("j-30", names)).is(201); }));
+  for (int i = 0; i < 160; ++i) names.push_back("j-1" + std::to_string(i % 40) + std::string(8, '0') + std::to_string(i));
+  EXPECT_TRUE(c.eventually(20, [&] { return c.ask(0, "POST", "/v1/jobs", waiting_body("j-31", names)).is(422); }))
+      << "told at the door that it is too long, or that it names what nobody knows";
+  for (int i = 0; i < 30; ++i) ASSERT_TRUE(c.submit_until("j-4" + std::to_string(i), 20));
+  c.state.end_holds();
+  ASSERT_TRUE(c.submit_until("j-50", 20));
+  for (const auto* uid : {"j-10", "j-139", "j-30", "j-429"})
+    EXPECT_TRUE(c.eventually(10, [&] { return c.ask(1, "GET", std::string("/v1/jobs/") + uid).is(200); })) << uid;
+  EXPECT_EQ(c.state.too_large(), 0u);
+}
+
+// Where it takes less than its settings say, it is found out: smaller pieces, and nobody steps down in turn for ever.
+TEST(Rollout, AStateServiceThatTakesLessThanItSaysIsGivenSmallerPieces) {
+  Tuning now;
+  now.state_level_soak_s = 0;
+  Cluster c(2, 1, {now});
+  ASSERT_TRUE(c.eventually(20, [&] { return c.level() == R"({"level":4})"; }));
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  c.state.limit(2048, 4);
+  for (int i = 0; i < 40; ++i) ASSERT_TRUE(c.submit_until("j-2" + std::to_string(i), 20)) << i;
+  EXPECT_GT(c.state.too_large(), 0u);
+  EXPECT_LT(c.state.too_large(), 12u);
+}
+
 std::string beyond(const std::string& entry) {
   auto j = nlohmann::json::parse(entry);
   j["records"].push_back({"from-the-future", 1});
