--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -40,6 +40,9 @@
       std::string body;
       {
         std::lock_guard lock(mutex_);
+        // Its lease ends on time also while it waits for an answer: a rig whose worker did not look meanwhile kept tasks for
+        // up to 4 s too long, and told of ran_twice and quota that were its own.
+        if (const double now = steady_now(); !dead_ && (now >= hangs_until_ || now > lease_until_)) progress(now);
         for (auto it = copies_due_.begin(); it != copies_due_.end() && body.empty();) {
           if (it->at > steady_now()) {
             ++it;
--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -164,6 +164,7 @@
   job.spec = r.job;
   job.team = accounts_.of_owner(r.job.owner);
   job.job_class = classes_.intern(r.job.job_class);
+  largest_.note(job.job_class, size_of(r.job));
   job.image = images_.intern(r.job.bundle);
   if (!r.job.yard.empty()) job.yard = zones_.intern(r.job.yard);
   for (const auto& k : r.job.host_kinds) job.kinds.push_back(kinds_.intern(k));
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -11,6 +11,7 @@
 
 #include "bookkeeping/accounts.hpp"
 #include "bookkeeping/blame.hpp"
+#include "bookkeeping/largest.hpp"
 #include "bookkeeping/pipelines.hpp"
 #include "protocol/types.hpp"
 
@@ -135,6 +136,8 @@
   // counted as waiting is of these alone.
   [[nodiscard]] const std::vector<JobIdx>& live() const { return live_; }
   [[nodiscard]] const Pipelines& pipelines() const { return pipelines_; }
+  // One of the largest jobs of its class lately.
+  [[nodiscard]] bool is_large(const Job& job) const { return largest_.among(job.job_class, size_of(job.spec)); }
   // Why a submission may not wait for the jobs that it names; nullopt: it may. The whole ledger has been read.
   [[nodiscard]] std::optional<std::string> why_not_after(const Submission& s) const;
   // What waits for others, for which levels before 4 have no form. A job that waited and does not any more loses there
@@ -233,6 +236,7 @@
   std::vector<int> flavor_of_kind_;
   Blame blame_;
   Pipelines pipelines_;
+  Largest largest_;
   // By kind (not valid: jobs that may use any), and whether the machine is a spot one.
   std::map<std::pair<KindIdx, bool>, Resources> accelerator_needs_;
 };
--- a/src/bookkeeping/served.cpp
+++ b/src/bookkeeping/served.cpp
@@ -18,7 +18,14 @@
   }
   if (const JobIdx j = job_of<StartRecord>(record, book); j.valid()) {
     const Job& job = book.job(j);
-    if (job.attempts == 0 && !job.ended()) ++of(job.spec).started;
+    if (job.attempts == 0 && !job.ended()) {
+      auto& f = of(job.spec);
+      ++f.started;
+      if (book.is_large(job)) {
+        ++f.largest;
+        f.largest_in_time += std::get<StartRecord>(record).at - job.since <= kLargestBegins;
+      }
+    }
   }
   if (const JobIdx j = job_of<CancelRecord>(record, book); j.valid()) {
     const Job& job = book.job(j);
--- a/src/bookkeeping/served.hpp
+++ b/src/bookkeeping/served.hpp
@@ -19,6 +19,7 @@
     std::uint64_t done = 0;
     std::uint64_t due = 0, in_time = 0;          // of those done: with a deadline, and by it
     std::uint64_t withdrawn_unstarted = 0;       // their users gave up before anything ran
+    std::uint64_t largest = 0, largest_in_time = 0;  // of the started: its largest, and those that began soon enough
     double replica_s = 0, replica_up_s = 0;      // of services: seconds asked for, and running
     friend bool operator==(const Figures&, const Figures&) = default;
   };
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -442,6 +442,8 @@
     served("served_jobs_total", "done", f.done);
     served("served_jobs_total", "due", f.due);
     served("served_jobs_total", "in_time", f.in_time);
+    served("served_jobs_total", "largest_started", f.largest);
+    served("served_jobs_total", "largest_started_within_240s", f.largest_in_time);
     served("served_jobs_total", "withdrawn_unstarted", f.withdrawn_unstarted);
     if (f.replica_s == 0) continue;
     served("served_replica_seconds_total", "asked", f.replica_s);
--- a/tests/served_test.cpp
+++ b/tests/served_test.cpp
@@ -77,5 +77,37 @@
   EXPECT_DOUBLE_EQ(f.replica_up_s, 2);
 }
 
+// Said by what the class asked for lately: a large gang among small ones, and none where all are alike.
+TEST(Largest, AreToldByWhatTheClassAskedForLately) {
+  const ClassIdx gangs{0}, alike{1};
+  Largest largest;
+  EXPECT_FALSE(largest.among(gangs, 8));
+  for (int i = 0; i < 40; ++i) {
+    largest.note(gangs, i % 5 == 0 ? 8 : 1);
+    largest.note(alike, 3);
+  }
+  EXPECT_TRUE(largest.among(gangs, 8));
+  EXPECT_FALSE(largest.among(gangs, 1));
+  EXPECT_FALSE(largest.among(alike, 3));
+  for (int i = 0; i < 64; ++i) largest.note(gangs, 8);
+  EXPECT_FALSE(largest.among(gangs, 8)) << "what was small is long past";
+  EXPECT_TRUE(largest.among(gangs, 16));
+
+  Book book = book_of_red(100);
+  Served served({"c"});
+  for (int i = 0; i < 20; ++i)
+    book.apply(AcceptRecord{submission("j-" + std::to_string(i), i % 10 == 9 ? 8 : 1, 1), 0.5, 10});
+  const auto begins = [&](const std::string& uid, double at) {
+    const Record start = StartRecord{uid, 1, at, {{"m-1", 1, {{0, 1}}}}};
+    served.before(start, book);
+    book.apply(start);
+  };
+  begins("j-9", 100), begins("j-19", 300), begins("j-3", 400);
+  const auto& f = served.figures().begin()->second;
+  EXPECT_EQ(f.started, 3u);
+  EXPECT_EQ(f.largest, 2u);
+  EXPECT_EQ(f.largest_in_time, 1u) << "one began after four minutes";
+}
+
 }  // namespace
 }  // namespace thistle
