--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -189,6 +189,49 @@
   EXPECT_GT(before_named, 20u) << "some job came before one that it names";
 }
 
+// The largest of each kind of record where the state service takes 2 KiB a value and 5 changes at once: each is cut to size or
+// refused at the door, and what is written anew of it fits as well.
+TEST(Pipelines, TheLargestOfEachRecordFitsIntoSmallEntries) {
+  const Tail::Limits limits{1843, 4, 5};
+  Book book = fresh(most_record_bytes(limits.value_bytes));
+  Ledger ledger(limits);
+  ledger.tail.write_at(4);
+  const auto long_uid = [](int i) { return "j-" + std::string(26, '9') + std::to_string(1000 + i); };
+  for (int i = 0; i < 120; ++i) ledger.commit(book, {accept(after(long_uid(i), {}), 1)});
+  auto widest = after("j-1", {}, 4000);
+  widest.job_class = std::string(200, 'c');
+  widest.bundle = std::string(200, 'b');
+  ASSERT_TRUE(Tail::takes(accept(widest, 1), limits.value_bytes));
+  ledger.commit(book, {accept(widest, 1)});
+  auto names = after("j-2", {});
+  while (Tail::takes(accept(names, 1), limits.value_bytes)) names.waits_on.push_back(long_uid(static_cast<int>(names.waits_on.size())));
+  EXPECT_GT(names.waits_on.size(), 20u);
+  names.waits_on.pop_back();
+  ledger.commit(book, {accept(names, 1)});
+  auto escaped = widest;
+  escaped.bundle = std::string(200, '\1');
+  EXPECT_FALSE(Tail::takes(accept(escaped, 1), limits.value_bytes)) << "refused at the door";
+  // Scattered tasks over many machines with long names.
+  StartRecord all{"j-1", 1, 1, {}};
+  for (std::uint32_t t = 0; t < 4000; t += 2)
+    all.parts.push_back({"m-" + std::string(40, 'x') + std::to_string(t % 97), 12345678901234567890u, {{t, t + 1}}});
+  for (auto& r : in_fitting_records(all, book.record_bytes())) ledger.commit(book, {r});
+  ASSERT_EQ(job(book, "j-1").placed.size(), 2000u);
+  std::vector<Record> ends;
+  for (std::uint32_t h = 0; h < book.host_count(); ++h)
+    for (auto& r : clear_host(book, HostIdx{h})) ends.push_back(std::move(r));
+  ledger.commit(book, ends);
+  EXPECT_TRUE(job(book, "j-1").placed.empty());
+  // Jobs that end while one that has not ended needs them, and a team of a long name; then all of it written anew.
+  for (int i = 0; i < 120; ++i) ledger.commit(book, {DoneRecord{long_uid(i), {{0, 2}}, 20.123456789 + i}});
+  ledger.commit(book, {TeamRecord{std::string(200, 't'), TeamTerms{{1.0 / 3, 1.0 / 7, 0}, {1e9 / 3, 1e9 / 7, 0}},
+                                  TeamTerms{{1.0 / 3, 1.0 / 7, 0}, {1e9 / 3, 1e9 / 7, 0}}, true}});
+  for (int i = 0; i < 600; ++i) ledger.commit(book, {accept(after("j-7" + std::to_string(i), {}), 30)});
+  EXPECT_GT(ledger.reused, 10u) << "written anew, and shortened";
+  Tail found;
+  expect_same(ledger.read(found, 4), book, 0);
+}
+
 // Ends of single tasks come by the hundred: one record for those of a job that go together, and never past anything else
 // about that job.
 TEST(Queue, EndsOfAJobsTasksAreJoinedUnlessAnythingElseAboutItStandsBetween) {
