--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -26,6 +26,13 @@
   return t;
 }
 
+// This build as it is, with nothing waited for.
+Tuning at_once() {
+  Tuning t;
+  t.state_level_soak_s = 0;
+  return t;
+}
+
 constexpr const char* kTwo = R"({"level":2})";
 
 void expect_all_known(Cluster& c, const std::vector<std::string>& uids) {
@@ -179,8 +186,7 @@
 
 // A settings file with another limit and one team more, controller by controller, with takeovers in between.
 TEST(Rollout, ChangedTeamsComeIntoForceWhenAllControllersHaveThem) {
-  Tuning now;
-  now.state_level_soak_s = 0;
+  const Tuning now = at_once();
   Cluster c(3, 1, {now});
   ASSERT_TRUE(c.submit_until("j-1", 20));
   ASSERT_TRUE(c.eventually(60, [&] { return team_in_ledger(c, "red").has_value(); }));
@@ -233,8 +239,7 @@
 // As its users meet it: refused for a while until all controllers have the level, and then, whoever is asked and whoever
 // leads, accepted, refused for good, cancelled through another.
 TEST(Rollout, JobsThatWaitForOthersComeWithTheLevelAndAreKnownToEachLeader) {
-  Tuning now;
-  now.state_level_soak_s = 0;
+  const Tuning now = at_once();
   Tuning before = now;
   before.state_level_reads = 3;
   Cluster c(3, 1, {now, now, before});
@@ -282,8 +287,7 @@
 
 // The state service takes a quarter from some moment on: with entries of both sizes, and the largest job that is taken.
 TEST(Rollout, LoweredLimitsOfTheStateServiceStopNothing) {
-  Tuning now;
-  now.state_level_soak_s = 0;
+  const Tuning now = at_once();
   Cluster c(3, 1, {now});
   ASSERT_TRUE(c.eventually(20, [&] { return c.level() == R"({"level":4})"; }));
   for (int i = 0; i < 40; ++i) ASSERT_TRUE(c.submit_until("j-1" + std::to_string(i), 20));
@@ -307,8 +311,7 @@
 
 // Where it takes less than its settings say, it is found out: smaller pieces, and nobody steps down in turn for ever.
 TEST(Rollout, AStateServiceThatTakesLessThanItSaysIsGivenSmallerPieces) {
-  Tuning now;
-  now.state_level_soak_s = 0;
+  const Tuning now = at_once();
   Cluster c(2, 1, {now});
   ASSERT_TRUE(c.eventually(20, [&] { return c.level() == R"({"level":4})"; }));
   ASSERT_TRUE(c.submit_until("j-1", 20));
