--- a/rig/cluster.hpp
+++ b/rig/cluster.hpp
@@ -15,68 +15,11 @@
 #include "rig/checker.hpp"
 #include "rig/relay.hpp"
 #include "rig/state_service.hpp"
+#include "rig/worker.hpp"
 #include "transport/http.hpp"
 
 namespace thistle::rig {
 
-// The protocol's times, shortened so that a run shows many leases; seconds.
-struct Times {
-  double report = 1.0, lease = 6.0, cancel = 20.0, pull = 0.2;
-};
-
-// One machine: holds tasks as commanded, reports them, and forgets them with its lease.
-class Worker {
- public:
-  Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker,
-         Times times, unsigned seed);
-  [[nodiscard]] const std::string& name() const { return name_; }
-  [[nodiscard]] const std::string& zone() const { return zone_; }
-  [[nodiscard]] const std::string& address() const { return address_; }
-  void hang(double until) { hangs_until_ = until; }  // steady seconds
-  // Its reports arrive; no answer and no command reaches it.
-  void deafen(double until) { deaf_until_ = until; }
-  // Now and then a report comes once more, up to a few leases late, at any controller.
-  void copy_reports(bool on) { copies_ = on; }
-  // It goes, with all that is on it.
-  void die();
-
- private:
-  struct Piece {
-    std::string uid;
-    std::uint32_t task = 0;
-    std::uint64_t attempt = 0;
-    double at = 0, run_s = 0;  // steady seconds of the command
-    bool service = false, on = false, exited = false;
-    std::string cause;
-  };
-  HttpReply on_call(const HttpCall& call);
-  void execute(const nlohmann::json& orders);
-  std::string report();
-  void progress(double now);
-  void clear(double now);
-  void live(std::stop_token stop);
-
-  std::string name_, zone_, address_ = testing_::free_address();
-  const std::vector<std::string>& controllers_;  // users' addresses
-  Checker& checker_;
-  Times times_;
-  std::mt19937 random_;
-  std::mutex mutex_;
-  std::map<std::string, Piece> pieces_;
-  std::uint64_t tenure_ = 1, serial_ = 0, epoch_ = 0;
-  double lease_until_ = 0;
-  std::atomic<double> hangs_until_{0}, deaf_until_{0};
-  std::atomic<bool> copies_{false};
-  struct Copy {
-    double at;
-    std::string body;
-  };
-  std::list<Copy> copies_due_;
-  bool changed_ = false, dead_ = false;
-  std::unique_ptr<HttpServer> server_;
-  std::jthread thread_, copier_;
-};
-
 // Cores that each team may use at first.
 inline const std::map<std::string, double> kLimits{{"red", 60}, {"blue", 25}};
 
