--- a/rig/state_service.hpp
+++ b/rig/state_service.hpp
@@ -131,6 +131,13 @@
     const auto it = keys_.find("lead-level");
     return it != keys_.end() && it->second.value.at("level") > 1 ? "lead" : "leader";
   }
+  // An outage from now on, or none any more: afterwards every hold has its full time again.
+  void outage(bool is) {
+    std::lock_guard lock(mutex_);
+    set_outage(is);
+  }
+  // An outage from the moment at which some controller next takes the lead: it leads, and can read nothing.
+  std::atomic<bool> outage_at_takeover{false};
   // Writes to the ledger that were applied under another epoch than the leader key's. None is ever allowed.
   std::size_t unfenced() const { return unfenced_; }
   std::size_t late_ones() const { return late_ones_; }
@@ -148,10 +155,16 @@
     json txn;
   };
 
+  void set_outage(bool is) {
+    if (outage_ && !is)
+      for (auto& [id, h] : holds_) h.ends = steady_now() + h.life;
+    outage_ = is;
+    for (auto& d : doors_) d.refuses = is;
+  }
   void tick() {
     const double now = steady_now();
     for (auto it = holds_.begin(); it != holds_.end();) {
-      if (now < it->second.ends) {
+      if (outage_ || now < it->second.ends) {
         ++it;
         continue;
       }
@@ -208,6 +221,7 @@
         if (it == keys_.end() || it->second.stamp != conditioned) ++unfenced_;
       }
       changes_[path] = rev_;
+      if (path == lead() && !keys_.contains(path) && outage_at_takeover.exchange(false)) set_outage(true);
       keys_[path] = {a.at("value"), rev_, a.value("hold", std::uint64_t{0})};
     }
     changed_.notify_all();
@@ -308,7 +322,7 @@
   std::uint64_t rev_ = 0, hold_ids_ = 0;
   std::atomic<std::size_t> unfenced_{0}, late_ones_{0}, too_large_{0};
   std::size_t value_bytes_ = SIZE_MAX, most_changes_ = SIZE_MAX;
-  bool ending_ = false;
+  bool ending_ = false, outage_ = false;
   std::mt19937 random_;
   std::list<Door> doors_;
   std::jthread clock_;
--- a/rig/worker.cpp
+++ b/rig/worker.cpp
@@ -51,7 +51,7 @@
   // A machine that hangs answers later, when it resumes.
   while (steady_now() < hangs_until_) std::this_thread::sleep_for(std::chrono::milliseconds(20));
   // What does not reach it is given up on by its sender.
-  if (steady_now() < deaf_until_) {
+  if (steady_now() < deaf_until_ || commands_cut_) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1600));
     return {503, "{}", 0, true};
   }
--- a/rig/worker.hpp
+++ b/rig/worker.hpp
@@ -36,8 +36,15 @@
   void hang(double until) { hangs_until_ = until; }  // steady seconds
   // Its reports arrive; no answer and no command reaches it.
   void deafen(double until) { deaf_until_ = until; }
+  // Direct commands do not reach it; answers to its reports do.
+  void cut_commands(bool is) { commands_cut_ = is; }
   // Now and then a report comes once more, up to a few leases late, at any controller.
   void copy_reports(bool on) { copies_ = on; }
+  // Grows by one with each lease that lapsed.
+  [[nodiscard]] std::uint64_t tenure() {
+    std::lock_guard lock(mutex_);
+    return tenure_;
+  }
   // It goes, with all that is on it.
   void die();
 
@@ -67,7 +74,7 @@
   std::uint64_t tenure_ = 1, serial_ = 0, epoch_ = 0;
   double lease_until_ = 0;
   std::atomic<double> hangs_until_{0}, deaf_until_{0};
-  std::atomic<bool> copies_{false};
+  std::atomic<bool> copies_{false}, commands_cut_{false};
   struct Copy {
     double at;
     std::string body;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -27,6 +27,7 @@
 #include "fleet/custody.hpp"
 #include "fleet/dealings.hpp"
 #include "fleet/due_workers.hpp"
+#include "fleet/renewal.hpp"
 #include "ledger/tail.hpp"
 #include "ledger/write_budget.hpp"
 #include "planning/floor.hpp"
@@ -91,6 +92,7 @@
   // Whether it could be taken, or not, once the terms of its team are the same everywhere.
   bool terms_change_for(const Submission& s) const;
   HttpReply status(Lock& lock, const std::string& uid);
+  HttpReply untold();
   HttpReply withdraw(Lock& lock, const std::string& uid);
   FramePool* leader_pool();  // nullptr when no peer is known to lead
   HttpReply forward(Lock& lock, const UserRoute& route, const HttpCall& call);
@@ -108,6 +110,8 @@
   void note_kept(Fencing& fencing, double now);
   // Whether it goes on answering this worker though it can't tell what the leader, or another one, decides.
   bool keeps(const Report& report, double now) const;
+  // Reports that come while the ledger is read wait for that, for a short while.
+  void await_ledger(Lock& lock);
   void learn(std::uint64_t epoch, const std::string& label);
   // Cut off from its peers and from most workers, though not from the state service: another serves better.
   bool isolated() const;
@@ -124,11 +128,13 @@
   // Gives the hold back when nothing is on its way into the ledger, so that another controller leads at once.
   void hand_over(Lock& lock, StoreClient& store, std::uint64_t hold, const char* why, double stand_back_s);
   void step_down(Lock& lock, const char* why);
-  // Whether a report may be answered. A leader that can't renew its hold goes on for the sake of the workers' leases,
-  // but only while a majority of the controllers, itself among them, answered it lately and knew of no later one.
-  bool may_answer(double now) const;
-  // For how long it goes on without them.
-  double lonely_grace() const;
+  // How it stands towards this worker; only while it has taken the lead.
+  Standing standing(const Report& report, double now) const;
+  // What the worker is due: all of it, or what stays right under every later leader.
+  std::vector<Order> due_orders(HostIdx h) const;
+  // Whether users may be told that it is cancelled: nothing of it is on a machine, or no earlier leader can go on renewing
+  // leases without knowing of it.
+  bool may_tell_cancelled(const Job& job) const;
   // Leads for certain at this moment: may decide, and may tell users what the book says.
   bool decisive() const;
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -15,7 +15,6 @@
 constexpr double kBeatPeriod = 0.5;
 constexpr unsigned kFollowMs = 10000;
 constexpr double kPeersLost = 3.0;    // no peer has answered for this long
-constexpr double kLonelyGrace = 5.0;  // longest that an uncertain leader answers workers without a majority
 constexpr double kStandBack = 4.0;    // before it tries to lead again
 constexpr double kLookAgain = 0.3;
 constexpr double kOthersFirst = 3.0;  // one that stands back leads all the same when nobody else has for this long
@@ -124,8 +123,8 @@
   term_->level_stamp = look.on_stamp;
   term_->taken_over_at = steady_now();
   term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
-  term_->backing = Backing(links_.size(), term_->taken_over_at, lonely_grace());
-  custody_.drop();
+  // What it was granted as a follower holds until it has read the ledger itself.
+  term_->backing = Backing(links_.size(), term_->taken_over_at, backing_grace(settings_.cancel_s, settings_.lease_s));
   for (auto& link : links_) {
     link.granted = Granted(custody_span(settings_.cancel_s, settings_.lease_s), term_->taken_over_at);
     link.marked_by = link.mark = 0;
@@ -133,7 +132,9 @@
   }
   ++term_number_;
   role_ = Role::recovering;
+  const Custody granted = custody_;
   learn(epoch, settings_.label);
+  custody_ = granted;
   spdlog::info("takes over as leader, epoch {}", epoch);
   role_changed_.notify_all();
   return true;
@@ -229,13 +230,18 @@
 // A leader inside a cut would keep its workers' leases alive for as long as the cut lasts, while its successor tells
 // users that their jobs are cancelled (kaubaalus grown, rough: ran_cancelled). A majority that knows of the successor
 // leaves it without one, so the successor can count on its silence soon after.
-bool Controller::may_answer(double now) const {
-  return now < term_->valid_until || term_->backing.majority(now);
+Standing Controller::standing(const Report& report, double now) const {
+  const bool read = term_->book != nullptr, certain = now < term_->valid_until;
+  const bool own_zone = report.yard == settings_.site;
+  return {read, certain, term_->backing.majority(now), own_zone && (read ? keeps(report, now) : custody_.granted_still(now))};
+}
+
+std::vector<Order> Controller::due_orders(HostIdx h) const {
+  return decisive() ? orders_for(*term_->book, h, term_->takeover_epoch) : kills_of_cancelled(*term_->book, h);
 }
 
-double Controller::lonely_grace() const {
-  // Within it and one lease, what a successor has cancelled must be gone.
-  return std::clamp((settings_.cancel_s - settings_.lease_s) / 4, 1.0, kLonelyGrace);
+bool Controller::may_tell_cancelled(const Job& job) const {
+  return job.placed.empty() || term_->backing.known(term_->takeover_epoch);
 }
 
 bool Controller::isolated() const {
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -195,6 +195,7 @@
   term_->book = std::move(book);
   for (const auto& [name, at] : early_answers_) term_->book->host(term_->book->host_named(name)).answered_at = at;
   early_answers_.clear();
+  custody_.drop();
   queue_.clear();
   users_wait_ = false;
   accepting_.clear();
@@ -205,6 +206,7 @@
   spdlog::info("ledger read: {} entries, {} live jobs, {:.0f} ms", entries, term_->book->live().size(),
                (steady_now() - began) * 1000);
   role_changed_.notify_all();
+  applied_.notify_all();
   want_pass();
   return true;
 }
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMostQueued = 3000; // records waiting for the ledger before submissions are turned away
 constexpr double kSlowCommit = 0.1;
 constexpr int kRetryAfter = 1;
+constexpr double kLedgerWait = 1.0;       // a report waits for so long for the ledger to be read; the worker waits 4 s
 constexpr double kBeatFresh = 2.0;        // four beats
 constexpr double kLeaderlessGrace = 6.0;
 constexpr double kBounceWindow = 12.0;
@@ -165,7 +166,8 @@
                                                : job.running() ? JobStatus::running : JobStatus::queued)};
   };
   // What has ended stays ended, whoever leads by now.
-  if (known.valid() && book.job(known).ended()) return answer_known(known, 200);
+  if (known.valid() && book.job(known).ended())
+    return book.job(known).status == JobStatus::aborted && !may_tell_cancelled(book.job(known)) ? untold() : answer_known(known, 200);
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   if (known.valid()) return answer_known(known, 200);
   std::uint64_t ticket = 0;
@@ -226,11 +228,19 @@
   return j.valid() ? answer_known(j, 201) : error_reply(503, kUnavailable, kRetryAfter);
 }
 
+// It is cancelled in the ledger. While too few controllers know of this lead, an earlier leader may keep its tasks alive for
+// longer than cancel_s from now, so its user is told later.
+HttpReply Controller::untold() {
+  ++counters_.untold;
+  return error_reply(503, "cancelled, not confirmed yet", kRetryAfter);
+}
+
 HttpReply Controller::status(Lock&, const std::string& uid) {
   const Book& book = *term_->book;
   const JobIdx j = book.find(uid);
   if (j.valid() && book.job(j).ended()) {
     const Job& job = book.job(j);
+    if (job.status == JobStatus::aborted && !may_tell_cancelled(job)) return untold();
     return {200, status_body(uid, job.status, job.done, 0)};
   }
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
@@ -251,7 +261,11 @@
 
 HttpReply Controller::withdraw(Lock& lock, const std::string& uid) {
   JobIdx j = term_->book->find(uid);
-  if (j.valid() && term_->book->job(j).ended()) return {200, brief_body(uid, term_->book->job(j).status)};
+  if (j.valid() && term_->book->job(j).ended()) {
+    const Job& job = term_->book->job(j);
+    if (job.status == JobStatus::aborted && !may_tell_cancelled(job)) return untold();
+    return {200, brief_body(uid, job.status)};
+  }
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   if (!j.valid()) {
     // Its acceptance may be on its way into the ledger.
@@ -266,6 +280,7 @@
   if (!wait_applied(lock, ticket, kCommitWait) || !decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   const Job& job = term_->book->job(j);
   poke_placed(job);
+  if (job.status == JobStatus::aborted && !may_tell_cancelled(job)) return untold();
   return {200, brief_body(uid, job.status)};
 }
 
@@ -278,7 +293,7 @@
     return error_reply(400, e.what());
   }
   Lock lock(mutex_);
-  const double now = steady_now();
+  double now = steady_now();
   if (role_ != Role::follower && report.epoch > term_->epoch) {
     // The worker has seen a later leader.
     step_down(lock, "a worker knows of a higher epoch");
@@ -321,27 +336,39 @@
     }
     return {421, steward_body("")};
   }
-  // Where nobody can read the ledger, leases are kept as followers keep them in a cut: for so long, what was cancelled
-  // before is gone in time.
-  if (!term_->book && unread_since_ != 0 && now - unread_since_ > custody_span(settings_.cancel_s, settings_.lease_s))
-    return {421, steward_body("")};
-  if (!may_answer(now)) {
-    if (forwarded || !keeps(report, now)) return {421, steward_body("")};
+  if (!term_->book && !forwarded && unread_since_ == 0) {
+    await_ledger(lock);
+    if (role_ == Role::follower) return {421, steward_body("")};
+    now = steady_now();
+  }
+  // Without the ledger for long, it answers workers without tasks for so long only.
+  const double span = custody_span(settings_.cancel_s, settings_.lease_s);
+  if (!term_->book && unread_since_ != 0 && now - unread_since_ > span) return {421, steward_body("")};
+  const Standing stands = standing(report, now);
+  const auto answer = renewal(stands, !report.pieces.empty());
+  if (answer == Renewal::none || (forwarded && !stands.certain && !stands.backed)) return {421, steward_body("")};
+  if (!stands.certain && !stands.backed) {
     custody_.kept(now);
     ++counters_.kept;
   }
-  // Answered also while leadership is uncertain or the ledger is being read, so that the lease does not lapse.
   std::vector<Order> orders;
   ++counters_.reports;
   if (term_->book) {
+    Book& book = *term_->book;
     const bool stale = !absorb(report, true);
-    Host& host = term_->book->host(term_->book->host_named(report.host));
+    Host& host = book.host(book.host_named(report.host));
+    if (late_start_of_cancelled(book, host, now, span)) return {421, steward_body("")};
     note_answer(host, stale, now);
     if (!forwarded && !stale) host.direct_at = now;
     const bool newest = host.tenure == report.tenure && host.serial == report.serial;
-    if (newest && decisive())
-      orders = orders_for(*term_->book, term_->book->find_host(report.host), term_->takeover_epoch);
+    // Each answer that renews a lease carries the kills of what is cancelled, also one to a report that another overtook.
+    const HostIdx h = book.find_host(report.host);
+    orders = newest ? due_orders(h) : kills_of_cancelled(book, h);
     note_orders(host, report.serial, orders);
+    if (!decisive()) {
+      ++counters_.answered_in_doubt;
+      counters_.kills_in_doubt += orders.size();
+    }
   } else {
     early_answers_[report.host] = now;
   }
@@ -350,6 +377,12 @@
   return reply;
 }
 
+void Controller::await_ledger(Lock& lock) {
+  const auto number = term_number_;
+  applied_.wait_for(lock, std::chrono::duration<double>(kLedgerWait),
+                    [&] { return term_number_ != number || term_->book || term_->hand_over; });
+}
+
 HttpReply Controller::health() {
   Lock lock(mutex_);
   const double now = steady_now();
@@ -391,6 +424,9 @@
   line("machines_deaf_total", counters_.deaf.load());
   line("handed_over_total", counters_.handed_over.load());
   line("kept_in_cuts_total", counters_.kept.load());
+  line("answered_in_doubt_total", counters_.answered_in_doubt.load());
+  line("kills_in_doubt_total", counters_.kills_in_doubt.load());
+  line("cancellations_not_confirmed_total", counters_.untold.load());
   line("ledger_queue", queue_.size());
   if (term_ && term_->book) {
     const auto p = term_->book->pipelines().counts();
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -112,9 +112,9 @@
   if (!term_ || !term_->book) return;
   Host& host = term_->book->host(h);
   std::vector<Order> orders;
-  const bool may = !host.gone && !host.address.empty() && decisive();
-  if (may) orders = orders_for(*term_->book, h, term_->takeover_epoch);
-  if (!may || (orders.empty() && !next.greet)) {
+  const bool may = !host.gone && !host.address.empty();
+  if (may) orders = due_orders(h);
+  if (!may || (orders.empty() && !(next.greet && decisive()))) {
     due_.served(h);
     return;
   }
--- a/src/duties/backing.hpp
+++ b/src/duties/backing.hpp
@@ -22,12 +22,16 @@
   // Whether this term, which took over under `epoch`, is known to all others, or to a majority for so long that an earlier
   // leader has fallen silent; then since when, else below 0.
   double alone_since(std::uint64_t epoch, double now);
+  // So many controllers know of it that no earlier leader can find a majority any more among those that do not: what an
+  // earlier one still relies on was answered before, and counts for its grace. Once so, for the whole term.
+  [[nodiscard]] bool known(std::uint64_t epoch) const;
   // A majority of the controllers, itself among them, answered within the grace.
   [[nodiscard]] bool majority(double now) const;
   // No peer has answered for this long.
   [[nodiscard]] bool lonely(double now, double for_s) const;
 
  private:
+  [[nodiscard]] std::size_t knowing(std::uint64_t epoch) const;
   struct Peer {
     std::uint64_t process = 0;  // that answered while the hold was alive
     std::uint64_t epoch = 0;    // known to some process of it
--- a/src/fleet/custody.hpp
+++ b/src/fleet/custody.hpp
@@ -26,6 +26,8 @@
   void drop();
   // Nothing was heard of the leader for some time, and not yet for too long.
   [[nodiscard]] bool keeps(double now) const;
+  // The same for one that has meanwhile taken the lead itself, without knowing the ledger: what it was granted is not over.
+  [[nodiscard]] bool granted_still(double now) const { return now < until_; }
   void kept(double now) { last_kept_ = now; }
   [[nodiscard]] double last_kept() const { return last_kept_; }
   // Under which it was granted: a later one, known by other ways only, may be another leader's.
--- a/src/fleet/dealings.cpp
+++ b/src/fleet/dealings.cpp
@@ -58,6 +58,8 @@
   return p && p->host == h && p->tenure == tenure && p->attempt == attempt;
 }
 
+bool cancelled(const Book& book, JobIdx j) { return j.valid() && book.job(j).status == JobStatus::aborted; }
+
 }  // namespace
 
 std::vector<StartRecord> in_fitting_records(const StartRecord& r, std::size_t record_bytes) {
@@ -203,7 +205,9 @@
     const Placement* p = s.ref.job.valid() ? const_cast<Book&>(book).placement(s.ref) : nullptr;
     const std::string& uid = s.ref.job.valid() ? book.job(s.ref.job).uid : s.uid;
     if (owned(p, h, host.tenure, s.attempt)) {
-      if (p->stopping && s.phase != Phase::exited && s.phase != Phase::saving)
+      // What is cancelled while it saves has nothing to save for: a second kill ends it.
+      const bool saves_on = s.phase == Phase::saving && !cancelled(book, s.ref.job);
+      if (p->stopping && s.phase != Phase::exited && !saves_on)
         out.push_back({Verb::kill, {uid, s.ref.task}, s.attempt, p->wind_down_s});
       continue;
     }
@@ -228,6 +232,21 @@
   return out;
 }
 
+std::vector<Order> kills_of_cancelled(const Book& book, HostIdx h) {
+  std::vector<Order> out;
+  const Host& host = book.host(h);
+  if (host.gone || host.tenure == 0) return out;
+  const auto kill = [&](PieceRef ref, std::uint64_t attempt) {
+    if (out.size() < kMostOrders) out.push_back({Verb::kill, {book.job(ref.job).uid, ref.task}, attempt, 0});
+  };
+  for (const auto& s : host.pieces)
+    if (s.phase != Phase::exited && cancelled(book, s.ref.job)) kill(s.ref, s.attempt);
+  // Not shown yet: a start that was on its way may have been carried out since.
+  for (const auto& p : host.placed)
+    if (cancelled(book, p.job) && !p.at->seen && p.at->tenure == host.tenure) kill(p, p.at->attempt);
+  return out;
+}
+
 // Found by the randomised test with more seeds: told to run by an answer that took 3 s, and by a command; stopped and reaped by
 // commands meanwhile; then the answer came and started it once more.
 void note_orders(Host& host, std::uint64_t serial, const std::vector<Order>& orders) {
--- a/src/fleet/dealings.hpp
+++ b/src/fleet/dealings.hpp
@@ -30,6 +30,10 @@
 // The orders that bring the worker from what it last reported to what the book says.
 std::vector<Order> orders_for(const Book& book, HostIdx h, std::uint64_t epoch);
 
+// Of these, the kills of tasks whose jobs are cancelled in the ledger: right under every later leader too, for a cancelled
+// job stays so and none of its tasks may ever start again. All that a leader in doubt may give.
+std::vector<Order> kills_of_cancelled(const Book& book, HostIdx h);
+
 // The same starts in records that fit into an entry of the ledger, however scattered their tasks are. One that does not is
 // refused by the state service, and each leader in turn would plan it again and step down.
 std::vector<StartRecord> in_fitting_records(const StartRecord& r, std::size_t record_bytes = kRecordBytes);
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -29,8 +29,9 @@
 
 class Cluster {
  public:
-  // `tunings`: one for each controller, or one for all.
-  explicit Cluster(std::size_t n, unsigned seed = 1, const std::vector<Tuning>& tunings = {one_level()})
+  // `tunings`: one for each controller, or one for all. `change`: is given the settings before any controller starts.
+  explicit Cluster(std::size_t n, unsigned seed = 1, const std::vector<Tuning>& tunings = {one_level()},
+                   const std::function<void(std::vector<Settings>&)>& change = {})
       : state(n, seed),
         cloud_address_(free_address()),
         cloud_(cloud_address_, 20, [](const HttpCall& c) -> HttpReply {
@@ -58,6 +59,7 @@
         if (k != i) all[i].peers.push_back({all[k].label, "x", all[k].peer_listen});
       users.push_back(all[i].client_listen);
     }
+    if (change) change(all);
     nodes_.resize(n);
     for (std::size_t i = 0; i < n; ++i) start(i, tunings[std::min(i, tunings.size() - 1)]);
   }
--- /dev/null
+++ b/tests/gap_test.cpp
@@ -0,0 +1,173 @@
+// The gap: a leader that cannot tell whether it still leads renews leases, while users were told of cancellations. Real
+// controllers on loopback, machines that keep to the protocol, and the rig's checker: no task of a job is on a machine for
+// longer than cancel_s after its user was told. docs/design.md, "Who may renew a lease in doubt".
+#include <gtest/gtest.h>
+
+#include "cluster.hpp"
+#include "rig/checker.hpp"
+#include "rig/relay.hpp"
+#include "rig/worker.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle {
+namespace {
+
+using testing_::Cluster;
+
+constexpr rig::Times kTimes{0.5, 4, 8, 0.1};  // report, lease, cancel, pull
+constexpr double kOutage = 13;                // longer than cancel_s and what an answer takes
+
+class Gap : public testing::Test {
+ protected:
+  // `site`: of all controllers; the machines are in zone x.
+  void begin(std::size_t n, const std::string& site = "") {
+    cluster = std::make_unique<Cluster>(n, 1, std::vector<Tuning>{testing_::one_level()}, [&](auto& settings) {
+      for (std::size_t i = 0; i < n; ++i) {
+        Settings& s = settings[i];
+        s.site = site;
+        s.report_s = kTimes.report, s.lease_s = kTimes.lease, s.cancel_s = kTimes.cancel;
+        for (auto& peer : s.peers) {
+          const std::size_t k = std::stoul(peer.label.substr(5));
+          peer.site = site;
+          relays[{i, k}] = std::make_unique<rig::Relay>(peer.address);
+          peer.address = relays[{i, k}]->address();
+        }
+      }
+    });
+    for (int i = 0; i < 2; ++i)
+      workers.push_back(std::make_unique<rig::Worker>("m-" + std::to_string(i), "x", cluster->users, checker, kTimes, 7 + i));
+    ticker = std::jthread([this](std::stop_token stop) {
+      while (pause_for(stop, 0.02)) checker.tick(steady_now());
+    });
+    for (const auto* uid : {"j-1", "j-2"}) {
+      checker.submitted({uid, "red", "batch", "", 2, 1, 1000}, steady_now());
+      ASSERT_TRUE(cluster->submit_until(uid, 20));
+      checker.told(uid, "queued", steady_now());
+      ASSERT_TRUE(cluster->eventually(20, [&] { return running(uid) == 2; })) << uid;
+    }
+    first = cluster->leader();
+  }
+  void TearDown() override {
+    ticker = {};
+    if (cluster) cluster->state.outage(false);
+    workers.clear();
+    cluster.reset();
+    relays.clear();
+    EXPECT_TRUE(checker.broken().empty()) << checker.broken().size() << " broken, first " << checker.broken().front();
+  }
+  std::size_t running(const std::string& uid) {
+    const auto r = cluster->ask(cluster->leader(), "GET", "/v1/jobs/" + uid);
+    const auto at = r.body.find("\"running\":");
+    return at == std::string::npos ? 0 : std::stoul(r.body.substr(at + 10));
+  }
+  // One try by way of this controller; whether its user is told that the job is cancelled.
+  bool withdraw(std::size_t node, const std::string& uid) {
+    checker.wants_withdrawn(uid);
+    const auto r = cluster->ask(node, "POST", "/v1/jobs/" + uid + "/withdraw");
+    EXPECT_TRUE(r.is(200) || r.is(503)) << r.status << " " << r.body;
+    if (r.is(200)) checker.told(uid, "aborted", steady_now());
+    return r.is(200);
+  }
+  void part(std::size_t a, std::size_t b, bool is) {
+    relays.at({a, b})->cut(is);
+    relays.at({b, a})->cut(is);
+  }
+  void hang(double for_s) {
+    for (auto& w : workers) w->hang(steady_now() + for_s);
+  }
+  void wait(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
+
+  rig::Checker checker{{{"red", 1000}}, kTimes.cancel};
+  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<rig::Relay>> relays;
+  std::unique_ptr<Cluster> cluster;
+  std::vector<std::unique_ptr<rig::Worker>> workers;
+  std::jthread ticker;
+  std::size_t first = 0;
+};
+
+// The first leader is refused by the state service, and its successor hears none of those that stand behind the first one,
+// which goes on renewing leases and knows nothing of the cancellation: its user is told only when they know of the successor.
+class GapOf : public Gap, public testing::WithParamInterface<std::size_t> {};
+TEST_P(GapOf, ACancellationIsNotToldWhileAMajorityMayStandBehindAnEarlierLeader) {
+  const std::size_t n = GetParam();
+  begin(n);
+  const std::size_t next = (first + 1) % n, with_it = n > 3 ? (first + 2) % n : next;
+  const auto theirs = [&](std::size_t i) { return i == next || i == with_it; };
+  for (std::size_t i = 0; i < n; ++i)
+    for (std::size_t k = 0; k < i; ++k)
+      if (theirs(i) != theirs(k)) part(i, k, true);
+  for (std::size_t i = 0; i < n; ++i) cluster->state.door(i).refuses = i != next;
+  ASSERT_TRUE(cluster->eventually(20, [&] { return cluster->leader() == next; }));
+  bool told = false;
+  for (const double until = steady_now() + 2; steady_now() < until; wait(0.1)) told = withdraw(next, "j-1") || told;
+  cluster->state.outage(true);
+  wait(kOutage);
+  EXPECT_FALSE(told) << "the others may go on renewing leases without it";
+  for (std::size_t i = 0; i < n; ++i)
+    for (std::size_t k = 0; k < i; ++k) part(i, k, false);
+  cluster->state.outage(false);
+  EXPECT_TRUE(cluster->eventually(20, [&] { return withdraw(cluster->leader(), "j-1"); }));
+  wait(kTimes.cancel + 0.5);
+  EXPECT_EQ(running("j-2"), 2u);
+}
+INSTANTIATE_TEST_SUITE_P(Controllers, GapOf, testing::Values(3, 5));
+
+// Told just before the outage, while no command reaches the machines, which stand still until leadership is uncertain: then
+// they are told with the answers to their reports, and what is not cancelled keeps its lease. Twice in a row.
+TEST_F(Gap, ALeaderInDoubtHandsOutTheKillsOfWhatIsCancelled) {
+  begin(3);
+  for (auto& w : workers) w->cut_commands(true);
+  for (const auto* uid : {"j-1", "j-2"}) {
+    ASSERT_TRUE(cluster->eventually(10, [&] { return running("j-2") == 2; }));
+    wait(0.7);
+    hang(2);
+    ASSERT_TRUE(cluster->eventually(5, [&] { return withdraw(cluster->leader(), uid); }));
+    cluster->state.outage(true);
+    wait(kOutage);
+    cluster->state.outage(false);
+    ASSERT_TRUE(cluster->eventually(10, [&] { return running(uid) == 0; }));
+    if (uid == std::string("j-1")) {
+      EXPECT_TRUE(cluster->eventually(10, [&] { return running("j-2") == 2; }));
+      EXPECT_EQ(workers[0]->tenure() + workers[1]->tenure(), 2u) << "no lease lapsed in the outage";
+    }
+  }
+}
+
+// Told just before its leader ended; the next one has the lead and reads nothing for as long as the outage lasts: it knows
+// neither what is cancelled nor since when. With controllers in the machines' zone, and in another one.
+class GapIn : public Gap, public testing::WithParamInterface<const char*> {};
+TEST_P(GapIn, ALeaderThatHasNotReadTheLedgerLetsTheLeasesEnd) {
+  begin(3, GetParam());
+  for (auto& w : workers) w->cut_commands(true);
+  wait(0.7);
+  hang(1.5);
+  ASSERT_TRUE(cluster->eventually(5, [&] { return withdraw(first, "j-1"); }));
+  cluster->state.outage_at_takeover = true;
+  cluster->stop(first);
+  wait(kOutage);
+  cluster->state.outage(false);
+  EXPECT_TRUE(cluster->eventually(10, [&] { return running("j-2") == 2; })) << "it starts again";
+}
+INSTANTIATE_TEST_SUITE_P(Zones, GapIn, testing::Values("", "x"));
+
+// The successor has told, and ends inside the outage; it is back at once and leads nothing. Workers report to whom they can.
+TEST_F(Gap, TheSuccessorEndsInsideTheOutage) {
+  begin(3, "x");
+  for (auto& w : workers) w->cut_commands(true);
+  cluster->state.door(first).refuses = true;
+  ASSERT_TRUE(cluster->eventually(20, [&] { return !cluster->state.leader().empty() && cluster->leader() != first; }));
+  const auto next = cluster->leader();
+  hang(2);
+  ASSERT_TRUE(cluster->eventually(10, [&] { return withdraw(next, "j-1"); }));
+  cluster->state.outage(true);
+  wait(1.5);
+  cluster->stop(next);
+  wait(0.2);
+  cluster->start(next, testing_::one_level());
+  wait(kOutage);
+  cluster->state.outage(false);
+  EXPECT_TRUE(cluster->eventually(20, [&] { return running("j-2") == 2; }));
+}
+
+}  // namespace
+}  // namespace thistle
