--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -5,6 +5,9 @@
 #include <csignal>
 #include <functional>
 #include <iostream>
+#include <map>
+#include <optional>
+#include <utility>
 
 #include "protocol/rollout_messages.hpp"
 #include "rig/cluster.hpp"
@@ -51,83 +54,25 @@
     flags.insert(flags.end(), more.begin(), more.end());
     cluster.start(i, newer ? plan.newer : plan.older, flags);
   }
+  // Troubles by name. Half of them are met by a second one while they last, or right after; the pairs are told with the verdict.
+  enum class Kind { leader_ends, leader_freezes, door_refuses, answers_lost, late_writes, repeats, outage, gap, parted, deaf, hang, all_end, count };
+  static constexpr const char* kNames[] = {"leader-ends", "leader-freezes", "door-refuses", "answers-lost", "late-writes", "repeats",
+                                           "outage",      "gap",            "parted",       "deaf",         "hang",        "all-end"};
   void trouble() {
-    const auto n = is_new.size(), i = random() % n, leader = std::min(cluster.leader(), n - 1);
-    auto& door = cluster.state.door(i);
-    const auto toggle = [&](const char* what, std::atomic<double>& share, double to) {
-      say(std::string(what) + ", or no longer");
-      share = share > 0 ? 0 : to;
-    };
-    ++events;
-    switch (random() % 12) {
-      case 0:
-        say("the leader ends");
-        cluster.end(leader);
-        wait(0.5);
-        start(leader, is_new[leader]);
-        break;
-      case 1:
-        say("the leader stands still");
-        cluster.freeze(leader, true);
-        wait(0.5 + 0.5 * (random() % 8));
-        cluster.freeze(leader, false);
-        break;
-      case 2:
-        say("a door refuses, or no longer");
-        door.refuses = !door.refuses;
-        break;
-      case 3:
-        toggle("answers are lost", door.loses, 0.3);
-        break;
-      case 4:
-        toggle("transactions are late", door.late, 0.2);
-        break;
-      case 5:
-        toggle("transactions are repeated", door.repeats, 0.3);
-        break;
-      case 6:
-        say("an outage");
-        for (std::size_t k = 0; k < n; ++k) cluster.state.door(k).refuses = true;
-        wait(1 + random() % 4);
-        for (std::size_t k = 0; k < n; ++k) cluster.state.door(k).refuses = false;
-        break;
-      case 8:
-      case 9: {
-        // The leader, or any: it reaches nobody but its workers and users.
-        const auto who = random() % 2 ? leader : i;
-        const bool state_too = random() % 3 != 0;
-        say("host-" + std::to_string(who) + " is parted from its peers" + (state_too ? " and the state service" : ""));
-        cluster.part(who, true, state_too);
-        wait(2 + random() % 12);
-        cluster.part(who, false, false);
-        break;
-      }
-      case 10:
-      case 11: {
-        // One machine, some, or a whole zone.
-        const auto share = random() % 3;
-        const double until = steady_now() + 3 + random() % 25;
-        const auto zone = cluster.workers.empty() ? std::string() : cluster.workers.front()->zone();
-        say("answers do not reach " + std::string(share == 0 ? "a machine" : share == 1 ? "some machines" : "a zone"));
-        for (auto& w : cluster.workers) {
-          if (share == 0 ? random() % cluster.workers.size() == 0 : share == 1 ? random() % 4 == 0 : w->zone() == zone)
-            w->deafen(until);
-        }
-        break;
-      }
-      default:
-        say("all end");
-        for (std::size_t k = 0; k < n; ++k) cluster.end(k);
-        wait(0.5);
-        for (std::size_t k = 0; k < n; ++k) start(k, is_new[k]);
-    }
-    if (random() % 6 == 0 && !cluster.workers.empty()) {
-      auto w = std::next(cluster.workers.begin(), static_cast<long>(random() % cluster.workers.size()));
-      (*w)->hang(steady_now() + 1 + random() % 9);
+    const auto any = [&] { return static_cast<Kind>(random() % static_cast<unsigned>(Kind::count)); };
+    const Kind first = any();
+    if (random() % 2) {
+      meets_ = any();
+      pairs[std::string(kNames[static_cast<int>(first)]) + "+" + kNames[static_cast<int>(*meets_)]]++;
     }
+    play(first);
+    if (!meets_) return;
+    wait(0.05 * (random() % 20));
+    meet();
   }
   void heal() {
     for (auto& w : cluster.workers) w->deafen(0);
+    cluster.state.outage(false);
     for (std::size_t i = 0; i < is_new.size(); ++i) {
       cluster.part(i, false, false);
       auto& door = cluster.state.door(i);
@@ -171,6 +116,9 @@
       std::cout << "  " << p.accepted << " jobs waited for others, " << p.done << " of them done, " << p.cancelled
                 << " told cancelled; the first was accepted " << p.first_accepted - all_new << " s after all were new"
                 << std::endl;
+    std::cout << "  pairs:";
+    for (const auto& [names, times] : pairs) std::cout << " " << names << (times > 1 ? "*" + std::to_string(times) : "");
+    std::cout << std::endl;
     for (const auto& b : broken) std::cout << "  " << b << std::endl;
     return broken.empty() && unanswered == 0 && cluster.state.unfenced() == 0 && cluster.state.too_large() == 0;
   }
@@ -182,9 +130,103 @@
   std::mt19937 random;
   std::vector<bool> is_new;
   std::size_t events = 0;
+  std::map<std::string, std::size_t> pairs;  // of troubles that met, by their names
   double all_new = 0;  // steady seconds
 
  private:
+  // The second trouble of a pair, in the middle of the first one.
+  void meet() {
+    if (const auto second = std::exchange(meets_, std::nullopt)) play(*second);
+  }
+  void lasts(double seconds) {
+    wait(seconds / 2);
+    meet();
+    wait(seconds / 2);
+  }
+  void play(Kind what) {
+    const auto n = is_new.size(), i = random() % n, leader = std::min(cluster.leader(), n - 1);
+    auto& door = cluster.state.door(i);
+    const auto toggle = [&](const char* said, std::atomic<double>& share, double to) {
+      say(std::string(said) + ", or no longer");
+      share = share > 0 ? 0 : to;
+    };
+    ++events;
+    switch (what) {
+      case Kind::leader_ends:
+        say("the leader ends");
+        cluster.end(leader);
+        lasts(random() % 2 ? 0.5 : 0.05);
+        start(leader, is_new[leader]);
+        break;
+      case Kind::leader_freezes:
+        say("the leader stands still");
+        cluster.freeze(leader, true);
+        lasts(0.5 + 0.5 * (random() % 8));
+        cluster.freeze(leader, false);
+        break;
+      case Kind::door_refuses:
+        say("a door refuses, or no longer");
+        door.refuses = !door.refuses;
+        break;
+      case Kind::answers_lost: toggle("answers are lost", door.loses, 0.3); break;
+      case Kind::late_writes:
+        door.late_most = 12;
+        toggle("transactions are late", door.late, 0.2);
+        break;
+      case Kind::repeats: toggle("transactions are repeated", door.repeats, 0.3); break;
+      case Kind::outage:
+        say("an outage");
+        cluster.state.outage(true);
+        lasts(1 + random() % 4);
+        cluster.state.outage(false);
+        break;
+      case Kind::gap:
+        // Its successor leads when all are refused, or is about to; now and then for longer than cancel_s.
+        say("the state service refuses the leader alone, then all");
+        cluster.state.door(leader).refuses = true;
+        wait(1.3 + 0.1 * (random() % 12));
+        cluster.state.outage(true);
+        lasts(random() % 3 ? 8 : 26);
+        cluster.state.outage(false);
+        break;
+      case Kind::parted: {
+        // The leader, or any: it reaches nobody but its workers and users.
+        const auto who = random() % 2 ? leader : i;
+        const bool state_too = random() % 3 != 0;
+        say("host-" + std::to_string(who) + " is parted from its peers" + (state_too ? " and the state service" : ""));
+        cluster.part(who, true, state_too);
+        lasts(2 + random() % 12);
+        cluster.part(who, false, false);
+        break;
+      }
+      case Kind::deaf: {
+        // One machine, some, or a whole zone.
+        const auto share = random() % 3;
+        const double until = steady_now() + 3 + random() % 25;
+        const auto zone = cluster.workers.empty() ? std::string() : cluster.workers.front()->zone();
+        say("answers do not reach " + std::string(share == 0 ? "a machine" : share == 1 ? "some machines" : "a zone"));
+        for (auto& w : cluster.workers) {
+          if (share == 0 ? random() % cluster.workers.size() == 0 : share == 1 ? random() % 4 == 0 : w->zone() == zone)
+            w->deafen(until);
+        }
+        break;
+      }
+      case Kind::hang: {
+        if (cluster.workers.empty()) break;
+        auto w = std::next(cluster.workers.begin(), static_cast<long>(random() % cluster.workers.size()));
+        say((*w)->name() + " hangs");
+        (*w)->hang(steady_now() + 1 + random() % 9);
+        break;
+      }
+      default:
+        say("all end");
+        for (std::size_t k = 0; k < n; ++k) cluster.end(k);
+        lasts(random() % 2 ? 0.5 : 0.05);
+        for (std::size_t k = 0; k < n; ++k) start(k, is_new[k]);
+    }
+  }
+
+  std::optional<Kind> meets_;
   double began_, healed_ = 0;
 };
 
@@ -366,6 +408,7 @@
 int main(int argc, char** argv) {
   CLI::App app{"thistlefront-rig: real controllers on a stand-in cluster, under trouble"};
   app.require_subcommand(1);
+  app.failure_message([](const CLI::App*, const CLI::Error& e) { return std::string(e.what()) + "\n"; });
   Plan plan;
   unsigned first = 1, last = 1;
   std::function<bool(const Plan&)> play;
--- a/tools/day_report.py
+++ b/tools/day_report.py
@@ -38,6 +38,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.error = lambda message: parser.exit(2, f"{parser.prog}: {message}\n")  # one line that names it
     parser.add_argument("entries", type=pathlib.Path, nargs="+")
     parser.add_argument("--least", type=float, default=0.6)
     args = parser.parse_args()
--- a/tools/site_variant.py
+++ b/tools/site_variant.py
@@ -56,6 +56,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.error = lambda message: parser.exit(2, f"{parser.prog}: {message}\n")  # one line that names it
     parser.add_argument("site", type=pathlib.Path)
     parser.add_argument("--times", type=float, default=1.0, help="machines, capacity, teams and traffic times this")
     parser.add_argument("--restart-after", type=float, help="seconds until a process that ended is started again")
