--- a/rig/worker.cpp
+++ b/rig/worker.cpp
@@ -24,15 +24,20 @@
   lease_until_ = steady_now() + times_.lease;
   server_ = std::make_unique<HttpServer>(address_, 20, [this](const HttpCall& c) { return on_call(c); });
   thread_ = std::jthread([this](std::stop_token stop) { live(stop); });
+  // Its lease ends on time also while it waits for an answer: a rig whose worker did not look meanwhile kept tasks for up to
+  // 4 s too long, and told of ran_twice and quota that were its own; one that looked between sending copies, for up to 1 s.
+  expiry_ = std::jthread([this](std::stop_token stop) {
+    while (pause_for(stop, kTick)) {
+      std::lock_guard lock(mutex_);
+      if (const double now = steady_now(); !dead_ && (now >= hangs_until_ || now > lease_until_)) progress(now);
+    }
+  });
   copier_ = std::jthread([this](std::stop_token stop) {
     std::mt19937 random(random_());
     while (pause_for(stop, kTick)) {
       std::string body;
       {
         std::lock_guard lock(mutex_);
-        // Its lease ends on time also while it waits for an answer: a rig whose worker did not look meanwhile kept tasks for
-        // up to 4 s too long, and told of ran_twice and quota that were its own.
-        if (const double now = steady_now(); !dead_ && (now >= hangs_until_ || now > lease_until_)) progress(now);
         for (auto it = copies_due_.begin(); it != copies_due_.end() && body.empty();) {
           if (it->at > steady_now()) {
             ++it;
--- a/rig/worker.hpp
+++ b/rig/worker.hpp
@@ -82,7 +82,7 @@
   std::list<Copy> copies_due_;
   bool changed_ = false, dead_ = false;
   std::unique_ptr<HttpServer> server_;
-  std::jthread thread_, copier_;
+  std::jthread thread_, expiry_, copier_;
 };
 
 }  // namespace thistle::rig
