Answers that may grow old have one way out; a raise in doubt is not another one's lead

Now every answer that does not say that it is for good gets one where answers leave; what the ledger took is not taken off it.

--- a/rig/checker.cpp
+++ b/rig/checker.cpp
@@ -29,7 +29,7 @@
   jobs_[uid].withdrawal_wanted = true;
 }
 
-void Checker::told(const std::string& uid, const std::string& status, double now) {
+void Checker::told(const std::string& uid, const std::string& status, double sent, double now) {
   std::lock_guard lock(mutex_);
   const auto it = jobs_.find(uid);
   if (it == jobs_.end()) {
@@ -37,26 +37,39 @@
     return;
   }
   Job& job = it->second;
-  if (status == "unknown" || status == "refused") {
-    if (job.accepted) broke("forgotten", uid + " is " + status, now);
-    return;
+  const bool known = status != "unknown" && status != "refused", ended = status == "done" || status == "aborted";
+  if (!known) {
+    job.unknown_asked = std::max(job.unknown_asked, sent);
+  } else {
+    polled_at_ = now;
+    job.failing_since = 0;
+    if (!job.accepted) acceptances_.push_back(job.accepted_at = now);
+    job.accepted = true;
+    job.accepted_at = std::min(job.accepted_at, now);
   }
-  polled_at_ = now;
-  job.failing_since = 0;
-  if (!job.accepted) acceptances_.push_back(job.accepted_at = now);
-  job.accepted = true;
-  if (!job.last.empty() && status != job.last)
+  if (ended && !job.last.empty() && status != job.last)
     broke("went_back", uid + " was " + job.last + " and is " + status, now);
+  if (known && !ended) job.unended_asked = std::max(job.unended_asked, sent);
+  if (ended && (job.last.empty() || now < job.ended_at)) job.ended_at = now;
+  if (ended) job.last = status;
+  if (job.accepted && job.unknown_asked > job.accepted_at) {
+    broke("forgotten", uid + " was unknown or refused, asked " + std::to_string(job.unknown_asked - job.accepted_at) +
+                           " s after it was accepted", now);
+    job.unknown_asked = 0;
+  }
+  if (job.ended_at > 0 && job.unended_asked > job.ended_at) {
+    broke("went_back", uid + " was " + job.last + " and then not, asked " +
+                           std::to_string(job.unended_asked - job.ended_at) + " s later", now);
+    job.unended_asked = 0;
+  }
   if ((status == "queued" || status == "running") && job.last.empty()) {
     const double above = cancelled_above(uid);
-    if (above > 0 && now > above + cancel_s_) broke("orphaned", uid + " is " + status, now);
+    if (above > 0 && sent > above + cancel_s_) broke("orphaned", uid + " is " + status, now);
   }
   if (status == "aborted" && !withdrawal_wanted_above(uid))
     broke("went_back", uid + " is aborted, and nobody asked for it", now);
   if (status == "done" && job.done.size() < job.spec.pieces) broke("not_done", uid, now);
-  if (status != "done" && status != "aborted") return;
-  if (status == "aborted" && job.cancelled_at == 0) job.cancelled_at = now;
-  job.last = status;
+  if (status == "aborted" && (job.cancelled_at == 0 || now < job.cancelled_at)) job.cancelled_at = now;
 }
 
 void Checker::failed_poll(const std::string& uid, double now) {
--- a/rig/checker.hpp
+++ b/rig/checker.hpp
@@ -27,8 +27,11 @@
   void limit(const std::string& team, double cores);
   void submitted(const JobSpec& job, double now);
   // What a user was told of a job: status as in the protocol, or "unknown" for 404, "refused" for 400 and
-  // 422.
-  void told(const std::string& uid, const std::string& status, double now);
+  // 422. It was asked at `sent`, and the answer came at `now`: one that was asked after any answer had come is no older than
+  // that, whichever controllers were asked and in whatever order these calls are made.
+  void told(const std::string& uid, const std::string& status, double sent, double now);
+  // Of users that ask one question after the other.
+  void told(const std::string& uid, const std::string& status, double now) { told(uid, status, now, now); }
   void wants_withdrawn(const std::string& uid);
   // A poll that got no true answer.
   void failed_poll(const std::string& uid, double now);
@@ -59,7 +62,9 @@
     JobSpec spec;
     bool accepted = false, withdrawal_wanted = false;
     std::string last;  // "done" or "aborted", once told
-    double accepted_at = 0, cancelled_at = 0, failing_since = 0;
+    double accepted_at = 0, ended_at = 0, cancelled_at = 0, failing_since = 0;  // earliest answers
+    double unknown_asked = 0, unended_asked = 0;  // latest question that was answered so
+    bool back_told = false;
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, std::multiset<std::string>> on;  // task -> machines
   };
--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -174,20 +174,35 @@
   return last;
 }
 
-void Cluster::poll(const std::string& uid, const HttpResult& answer) {
+void Cluster::poll(const std::string& uid, const HttpResult& answer, double sent) {
   const double now = steady_now();
+  if (sent == 0) sent = now;
   const auto j = answer.delivery == Delivery::answered ? json::parse(answer.body, nullptr, false) : json();
   if (answer.is(200) || answer.is(201)) {
-    checker.told(uid, j.is_object() ? j.value("status", std::string("?")) : "?", now);
+    checker.told(uid, j.is_object() ? j.value("status", std::string("?")) : "?", sent, now);
   } else if (answer.is(404)) {
-    checker.told(uid, "unknown", now);
+    checker.told(uid, "unknown", sent, now);
   } else if (answer.is(400) || answer.is(422)) {
-    checker.told(uid, "refused", now);
+    checker.told(uid, "refused", sent, now);
   } else {
     checker.failed_poll(uid, now);
   }
 }
 
+void Cluster::look_everywhere(const std::string& uid, const std::string& submission) {
+  std::vector<std::jthread> lookers;
+  for (const auto& address : addresses_) {
+    lookers.emplace_back([&] {
+      for (int k = 0; k < 2; ++k) {
+        HttpClient client(address);
+        const double sent = steady_now();
+        const bool repeats = k == 1 && !submission.empty();
+        poll(uid, repeats ? client.call("POST", "/v1/jobs", submission, 5) : client.call("GET", "/v1/jobs/" + uid, "", 2), sent);
+      }
+    });
+  }
+}
+
 void Cluster::use(std::stop_token stop, unsigned seed) {
   std::mt19937 random(seed);
   unsigned dice = seed;
@@ -236,6 +251,7 @@
       }
       if (answer.is(200) || answer.is(201)) mine.push_back(job.uid);
       poll(job.uid, answer);
+      if ((answer.is(200) || answer.is(201)) && random() % 4 == 0) look_everywhere(job.uid, body.dump());
     } else if ((what == 3 && random() % 3 == 0) || mine.size() > 40) {
       const auto at = random() % mine.size();
       // Work that ends by itself is let go; services go on until they are withdrawn.
@@ -244,14 +260,18 @@
         continue;
       }
       checker.wants_withdrawn(mine[at]);
-      poll(mine[at], ask("POST", "/v1/jobs/" + mine[at] + "/withdraw", "", dice));
+      const auto answer = ask("POST", "/v1/jobs/" + mine[at] + "/withdraw", "", dice);
+      poll(mine[at], answer);
+      if (answer.is(200) && random() % 2 == 0) look_everywhere(mine[at], "");
     } else if (what == 4) {
       const auto uid = "j-9" + std::to_string(random());
       const auto answer = ask("GET", "/v1/jobs/" + uid, "", dice);
       if (answer.is(200)) checker.told(uid, "known", steady_now());
     } else {
       const auto& uid = mine[random() % mine.size()];
-      poll(uid, ask("GET", "/v1/jobs/" + uid, "", dice));
+      const auto answer = ask("GET", "/v1/jobs/" + uid, "", dice);
+      poll(uid, answer);
+      if (answer.is(200) && answer.body.find(R"("status":"done")") != std::string::npos && random() % 8 == 0) look_everywhere(uid, "");
     }
     // Services and jobs that go on for long are withdrawn in the end.
     if (mine.size() > 60) mine.erase(mine.begin());
--- a/rig/cluster.hpp
+++ b/rig/cluster.hpp
@@ -56,7 +56,10 @@
  private:
   HttpReply cloud(const HttpCall& call);
   void use(std::stop_token stop, unsigned seed);
-  void poll(const std::string& uid, const HttpResult& answer);
+  // `sent`: when it was asked, where its user asks several questions at once; 0: one after the other.
+  void poll(const std::string& uid, const HttpResult& answer, double sent = 0);
+  // A close look: at all controllers within milliseconds, the submission repeated unless it is empty.
+  void look_everywhere(const std::string& uid, const std::string& submission);
 
   Options options_;
   Times times_;
--- a/rig/relay.hpp
+++ b/rig/relay.hpp
@@ -38,6 +38,8 @@
   }
   [[nodiscard]] const std::string& address() const { return address_; }
   void cut(bool is) { cut_ = is; }
+  // What comes back is held, while what is sent there goes on.
+  void hold_answers(bool is) { answers_held_ = is; }
 
  private:
   static constexpr int kTick = 50;  // ms
@@ -48,7 +50,7 @@
       to = connect_to(r.to_, 1.0);
       char bytes[16384];
       while (to.open() && !r.ending_) {
-        pollfd fds[2] = {{from.fd(), POLLIN, 0}, {to.fd(), POLLIN, 0}};
+        pollfd fds[2] = {{from.fd(), POLLIN, 0}, {to.fd(), static_cast<short>(r.answers_held_ ? 0 : POLLIN), 0}};
         if (r.cut_) {
           ::poll(nullptr, 0, kTick);
           continue;
@@ -79,7 +81,7 @@
 
   const std::string address_ = testing_::free_address(), to_;
   Socket listener_;
-  std::atomic<bool> cut_{false}, ending_{false};
+  std::atomic<bool> cut_{false}, answers_held_{false}, ending_{false};
   std::mutex mutex_;
   std::list<std::unique_ptr<Line>> lines_;
   std::jthread accepting_;
--- a/rig/state_service.hpp
+++ b/rig/state_service.hpp
@@ -59,6 +59,9 @@
     // The next transaction that takes the lead gets no answer and is executed just before the one after it, with its hold alive as
     // after an outage; holds can't be dropped meanwhile.
     std::atomic<bool> lead_overtaken{false};
+    // The next transaction that sets or removes a key with this beginning is executed at once, and its answer never comes.
+    std::atomic<const char*> loses_next{nullptr};
+    std::atomic<std::size_t> lost{0};  // such ones
     std::atomic<bool> executes{true};
     std::atomic<bool> blown{false};  // now; whoever ends the controller takes it back
     std::unique_ptr<HttpServer> server;
@@ -123,6 +126,12 @@
     const auto it = keys_.find(key);
     return it == keys_.end() ? "" : it->second.value.dump();
   }
+  // 0: there is no such key.
+  std::uint64_t stamp(const std::string& key) {
+    std::lock_guard lock(mutex_);
+    const auto it = keys_.find(key);
+    return it == keys_.end() ? 0 : it->second.stamp;
+  }
   void put(const std::string& key, const std::string& value) {
     std::lock_guard lock(mutex_);
     keys_[key] = {json::parse(value), ++rev_, 0};
@@ -244,6 +253,11 @@
     return !keys_.contains(lead()) &&
            std::any_of(apply.begin(), apply.end(), [&](const auto& a) { return a.value("set", std::string()) == lead(); });
   }
+  static bool sets(const json& txn, const std::string& prefix) {
+    const auto apply = txn.value("apply", json::array());
+    return std::any_of(apply.begin(), apply.end(),
+                       [&](const auto& a) { return a.value("set", a.value("remove", std::string())).starts_with(prefix); });
+  }
   bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
 
   static std::string query(const std::string& target, const std::string& name) {
@@ -313,6 +327,11 @@
         return lost(lock);
       }
       auto reply = execute(txn);
+      if (const char* prefix = door.loses_next; prefix && reply.status == 200 && sets(txn, prefix)) {
+        door.loses_next = nullptr;
+        ++door.lost;
+        return lost(lock);
+      }
       return chance(door.loses) ? lost(lock) : reply;
     }
     if (target == "/holds") {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -72,6 +72,7 @@
     bool first_of_all = false;         // the ledger was empty: no earlier leader rented or placed anything
     Backing backing;                   // what the other controllers answered in this term
     bool bump_wanted = false;
+    bool lead_in_doubt = false;        // a change of its own key is on its way, or has no answer yet
     const char* hand_over = nullptr;   // why it is to give leadership up, in order
     double bumped_at = 0;
     std::optional<ReadLedger> read;    // before it took the lead
@@ -91,12 +92,26 @@
   HttpReply on_http(const HttpCall& call);
   Frame on_frame(const Frame& frame);
   HttpReply on_user(const UserRoute& route, std::string_view body);
-  HttpReply submit(Lock& lock, std::string_view body);
+  // What a user is told. What another leader may make untrue is good for a short time only; `on_user` sees to that for each
+  // answer that does not say that it is for good.
+  struct Answer {
+    Answer(HttpReply r) : reply(std::move(r)) {}  // NOLINT: nearly all answers may grow old
+    static Answer for_good(HttpReply r) {
+      Answer a(std::move(r));
+      a.lasting = true;
+      return a;
+    }
+    HttpReply reply;
+    bool lasting = false;
+  };
+  Answer submit(Lock& lock, std::string_view body);
   // Whether it could be taken, or not, once the terms of its team are the same everywhere.
   bool terms_change_for(const Submission& s) const;
-  HttpReply status(Lock& lock, const std::string& uid);
+  Answer status(const std::string& uid);
   HttpReply untold();
-  HttpReply withdraw(Lock& lock, const std::string& uid);
+  Answer withdraw(Lock& lock, const std::string& uid);
+  // A job as the book has it: its end is for good, if it may be told; all else only while it leads for certain.
+  Answer answer_known(const Job& job, unsigned code, bool with_counts);
   FramePool* leader_pool();  // nullptr when no peer is known to lead
   HttpReply forward(Lock& lock, const UserRoute& route, const HttpCall& call);
   HttpReply on_report(std::string_view body, bool forwarded);
@@ -126,6 +141,8 @@
   // Another lead than the one known before, if under the same name: what was kept of that one is over, and where it is
   // known who leads, calls that wait for it are too.
   void new_lead(bool known);
+  // Whether the higher epoch that a peer tells of is this term's own, raised by a change that it has no answer to yet.
+  bool raised_in_doubt(const BeatAck& ack) const;
   // Waits until no answer that may grow old can be given any more, by this controller or one that it was passed on to.
   void outwait_answers(Lock& lock) const;
   // Gives the hold back when nothing is on its way into the ledger, so that another controller leads at once.
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -341,6 +341,13 @@
   lock.lock();
 }
 
+// A raise that is carried out at once and whose answer is lost is seen by the peers first. The leader took it for another one's lead,
+// and gave up a lead that nobody else had (state levels switched on while answers are lost: a takeover each time). While its hold
+// lasts nobody else can lead, and its ledger is not written before the key has been looked at.
+bool Controller::raised_in_doubt(const BeatAck& ack) const {
+  return term_->lead_in_doubt && ack.leader == settings_.label && steady_now() < term_->valid_until;
+}
+
 void Controller::peer_duty(std::stop_token stop, std::size_t peer) {
   auto& link = links_[peer];
   bool reached = true;
@@ -366,7 +373,7 @@
     if (!ack) continue;
     Lock lock(mutex_);
     if (role_ == Role::follower || term_number_ != number) continue;
-    if (ack->epoch > term_->epoch) {
+    if (ack->epoch > term_->epoch && !raised_in_doubt(*ack)) {
       learn(ack->epoch, ack->leader);
       step_down(lock, "a peer knows of a higher epoch");
       continue;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -280,13 +280,9 @@
       // An earlier try of the same transaction may have been applied without an answer: the entry tells.
       const auto got = deposed ? StoreStatus::missing : store.get(last_key, row);
       if (got == StoreStatus::ok) {
-        try {
-          if (parse_entry(row.value).seq == draft.seq) {
-            stamp = row.stamp;
-            status = StoreStatus::ok;
-          }
-        } catch (const std::exception& e) {
-          spdlog::error("ledger entry {}: {}", last_key, e.what());
+        if (!draft.puts.empty() && is_as_written(draft.puts.back(), row.value)) {
+          stamp = row.stamp;
+          status = StoreStatus::ok;
         }
         if (status != StoreStatus::ok && status != StoreStatus::refused) {
           lock.lock();
@@ -400,6 +396,7 @@
   const auto step = rollout::raise_epoch(term_->level, {settings_.label, incarnation_}, old, term_->hold);
   const std::string key = term_->key();
   charge_writes(1);
+  term_->lead_in_doubt = true;
   lock.unlock();
   std::uint64_t epoch = 0;
   std::vector<std::string> failed;
@@ -432,7 +429,7 @@
   }
   if (status != StoreStatus::ok) return false;
   term_->epoch = epoch;
-  term_->bump_wanted = false;
+  term_->bump_wanted = term_->lead_in_doubt = false;
   term_->bumped_at = steady_now();
   learn(epoch, settings_.label);
   spdlog::info("epoch raised to {} to fence commands in doubt", epoch);
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -69,12 +69,15 @@
                         static_cast<std::uint32_t>(std::max(0.0, now - custody_.last_kept()) * 1000)});
   }
   if (const auto call = unpack_call(frame)) {
+    // What an answer has left is counted from here, by the one that asked from before it did: so it is never more than it was, and
+    // what the ledger took is not taken off it.
+    const double received = steady_now();
     if (call->target == kAbleTarget) return pack(HttpReply{200, pack(able_)}, steady_now());
     if (call->target == kTeamsTarget) return pack(HttpReply{200, pack(teams_file_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
     const auto reply =
         route.kind == UserRoute::Kind::report ? on_report(call->body, true) : on_user(route, call->body);
-    return pack(reply, steady_now());
+    return pack(reply, received);
   }
   spdlog::error("malformed frame from a peer, kind {}", frame.kind);
   return pack(error_reply(400, "malformed frame"), steady_now());
@@ -86,16 +89,23 @@
     ++counters_.unavailable;
     return error_reply(503, kUnavailable, kRetryAfter);
   }
-  HttpReply reply;
+  Answer answer = error_reply(404, "no such path");
   switch (route.kind) {
-    case UserRoute::Kind::submit: reply = submit(lock, body); break;
-    case UserRoute::Kind::status: reply = status(lock, route.uid); break;
-    case UserRoute::Kind::withdraw: reply = withdraw(lock, route.uid); break;
-    default: return error_reply(404, "no such path");
+    case UserRoute::Kind::submit: answer = submit(lock, body); break;
+    case UserRoute::Kind::status: answer = status(route.uid); break;
+    case UserRoute::Kind::withdraw: answer = withdraw(lock, route.uid); break;
+    default: return answer.reply;
   }
+  HttpReply& reply = answer.reply;
   if (reply.status == 503) {
     ++counters_.unavailable;
     spdlog::debug("503: {}", decisive() ? "the ledger can't take it now" : "leadership is uncertain");
+  } else if (!answer.lasting) {
+    // Outdated once another controller could lead: frozen on the way out, or held up on its way through a follower, it would come
+    // after that one's answers, to a user who asks several nodes at once. No longer than any way to the user takes: whoever
+    // leads next waits for that where this lead ends before its hold does.
+    reply.valid_until = std::min(term_->valid_until, steady_now() + kAnswerLife);
+    answers_until_ = std::max(answers_until_, reply.valid_until);
   }
   return reply;
 }
@@ -149,7 +159,7 @@
   return term_->book->why_never(s).has_value();
 }
 
-HttpReply Controller::submit(Lock& lock, std::string_view body) {
+Controller::Answer Controller::submit(Lock& lock, std::string_view body) {
   Submission s;
   std::string malformed;
   try {
@@ -160,15 +170,8 @@
   }
   Book& book = *term_->book;
   const JobIdx known = s.uid.empty() ? JobIdx{} : book.find(s.uid);
-  const auto answer_known = [&](JobIdx j, unsigned code) {
-    const Job& job = term_->book->job(j);
-    return HttpReply{code, brief_body(job.uid, job.ended() ? job.status
-                                               : job.running() ? JobStatus::running : JobStatus::queued)};
-  };
-  // What has ended stays ended, whoever leads by now.
-  if (known.valid() && book.job(known).ended()) return may_tell(book.job(known)) ? answer_known(known, 200) : untold();
+  if (known.valid()) return answer_known(book.job(known), 200, false);
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
-  if (known.valid()) return answer_known(known, 200);
   std::uint64_t ticket = 0;
   if (auto it = accepting_.find(s.uid); it != accepting_.end()) {
     ticket = it->second;
@@ -224,7 +227,17 @@
   if (took > kSlowCommit) spdlog::debug("{}: accepted after {:.0f} ms", s.uid, took * 1000);
   ++counters_.accepted;
   const JobIdx j = term_->book->find(s.uid);
-  return j.valid() ? answer_known(j, 201) : error_reply(503, kUnavailable, kRetryAfter);
+  return j.valid() ? answer_known(term_->book->job(j), 201, false) : error_reply(503, kUnavailable, kRetryAfter);
+}
+
+Controller::Answer Controller::answer_known(const Job& job, unsigned code, bool with_counts) {
+  const auto running = job.ended() ? 0 : job.running();
+  const JobStatus is = job.ended() ? job.status : running ? JobStatus::running : JobStatus::queued;
+  HttpReply reply{code, with_counts ? status_body(job.uid, is, job.done, running) : brief_body(job.uid, is)};
+  // What has ended stays ended, whoever leads by now.
+  if (job.ended()) return may_tell(job) ? Answer::for_good(std::move(reply)) : Answer(untold());
+  if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
+  return reply;
 }
 
 // It is cancelled in the ledger. While too few controllers know of this lead, an earlier leader may keep its tasks alive for
@@ -234,37 +247,16 @@
   return error_reply(503, "cancelled, not confirmed yet", kRetryAfter);
 }
 
-HttpReply Controller::status(Lock&, const std::string& uid) {
+Controller::Answer Controller::status(const std::string& uid) {
   const Book& book = *term_->book;
-  const JobIdx j = book.find(uid);
-  if (j.valid() && book.job(j).ended()) {
-    const Job& job = book.job(j);
-    if (!may_tell(job)) return untold();
-    return {200, status_body(uid, job.status, job.done, 0)};
-  }
+  if (const JobIdx j = book.find(uid); j.valid()) return answer_known(book.job(j), 200, true);
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
-  // Both may be outdated once another controller could lead: frozen on the way out, they would come after its answers.
-  HttpReply reply;
-  if (j.valid()) {
-    const Job& job = book.job(j);
-    const auto running = job.running();
-    reply = {200, status_body(uid, running ? JobStatus::running : JobStatus::queued, job.done, running)};
-  } else {
-    reply = error_reply(404, "no such job");
-  }
-  // No longer than any way to the user takes: whoever leads next waits for that where this lead ends before its hold does.
-  reply.valid_until = std::min(term_->valid_until, steady_now() + kAnswerLife);
-  answers_until_ = std::max(answers_until_, reply.valid_until);
-  return reply;
+  return error_reply(404, "no such job");
 }
 
-HttpReply Controller::withdraw(Lock& lock, const std::string& uid) {
+Controller::Answer Controller::withdraw(Lock& lock, const std::string& uid) {
   JobIdx j = term_->book->find(uid);
-  if (j.valid() && term_->book->job(j).ended()) {
-    const Job& job = term_->book->job(j);
-    if (!may_tell(job)) return untold();
-    return {200, brief_body(uid, job.status)};
-  }
+  if (j.valid() && term_->book->job(j).ended()) return answer_known(term_->book->job(j), 200, false);
   if (!decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   if (!j.valid()) {
     // Its acceptance may be on its way into the ledger.
@@ -279,8 +271,7 @@
   if (!wait_applied(lock, ticket, kCommitWait) || !decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   const Job& job = term_->book->job(j);
   poke_placed(job);
-  if (!may_tell(job)) return untold();
-  return {200, brief_body(uid, job.status)};
+  return answer_known(job, 200, false);
 }
 
 HttpReply Controller::on_report(std::string_view body, bool forwarded) {
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -124,6 +124,7 @@
   if (term_number_ != number || !term_->step) return false;
   const auto step = *term_->step;
   charge_writes(step.changes());
+  term_->lead_in_doubt = step.raises_epoch();
   lock.unlock();
   std::uint64_t rev = 0;
   std::vector<std::string> failed;
@@ -148,6 +149,7 @@
   }
   lock.lock();
   if (term_number_ != number) return false;
+  term_->lead_in_doubt = false;
   if (status == StoreStatus::unavailable) {
     lock.unlock();
     pause_for(stop, kAgain);
--- a/src/ledger/tail.cpp
+++ b/src/ledger/tail.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace thistle {
@@ -72,6 +73,11 @@
 }
 }  // namespace
 
+bool is_as_written(const Put& put, const std::string& value) {
+  const auto there = nlohmann::json::parse(value, nullptr, false);
+  return !there.is_discarded() && there == nlohmann::json::parse(put.value);
+}
+
 bool join_ends(std::deque<Pending>& queue, const Record& record) {
   const auto* ends = std::get_if<DoneRecord>(&record);
   if (!ends) return false;
--- a/src/ledger/tail.hpp
+++ b/src/ledger/tail.hpp
@@ -35,6 +35,10 @@
   std::uint64_t ticket = 0;
 };
 
+// Whether an entry that is there is the one that was to be written. Its key and sequence number do not tell: the next leader
+// writes one with the same, where this one's was not carried out before it read the ledger.
+bool is_as_written(const Put& put, const std::string& value);
+
 // Takes ends of tasks into an earlier record of the queue on ends of the same job, where nothing else about that job stands
 // behind it: nine in ten of the records that a busy ledger takes are ends of single tasks. Whether it did.
 bool join_ends(std::deque<Pending>& queue, const Record& record);
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -90,6 +90,42 @@
   EXPECT_TRUE(checker.broken()[3].starts_with("went_back"));
 }
 
+// Questions at several nodes at once: which came first is told by when it was asked, and when any answer had come.
+TEST_F(RigChecker, AnOlderAnswerIsOneThatWasAskedForAfterANewerOneHadCome) {
+  checker.told("j-1", "unknown", 100.1, 101.5);
+  checker.told("j-1", "queued", 100.2, 101.0);
+  EXPECT_EQ(first(), "") << "both were on their way at once";
+  checker.wants_withdrawn("j-1");
+  checker.told("j-1", "aborted", 102.0, 103.0);
+  checker.told("j-1", "running", 102.9, 104.0);
+  EXPECT_EQ(first(), "") << "the same";
+  checker.told("j-1", "running", 103.1, 103.2);
+  ASSERT_EQ(checker.broken().size(), 1u);
+  EXPECT_TRUE(checker.broken()[0].starts_with("went_back"));
+}
+TEST_F(RigChecker, AnOlderAnswerIsFoundInWhateverOrderTheyAreNoted) {
+  checker.told("j-1", "queued", 103.1, 103.2);
+  checker.wants_withdrawn("j-1");
+  checker.told("j-1", "aborted", 102.0, 103.0);
+  ASSERT_EQ(checker.broken().size(), 1u);
+  EXPECT_TRUE(checker.broken()[0].starts_with("went_back"));
+  checker.submitted({"j-2", "red", "batch", "", 1, 1, 1}, 100);
+  checker.told("j-2", "unknown", 104.0, 104.1);
+  checker.told("j-2", "refused", 103.0, 104.2);
+  EXPECT_EQ(checker.broken().size(), 1u);
+  checker.told("j-2", "queued", 103.5, 103.9);
+  ASSERT_EQ(checker.broken().size(), 2u);
+  EXPECT_TRUE(checker.broken()[1].starts_with("forgotten"));
+}
+TEST_F(RigChecker, ACancellationCountsFromTheFirstAnswer) {
+  checker.on("j-1", 0, "m-1", "x", 101);
+  checker.wants_withdrawn("j-1");
+  checker.told("j-1", "aborted", 101.5, 105.0);
+  checker.told("j-1", "aborted", 101.0, 102.0);
+  checker.tick(112.5);
+  EXPECT_EQ(first(), "ran_cancelled");
+}
+
 TEST_F(RigChecker, WhatStartsBeforeWhatItWaitsForOrOutlivesItsCancellationIsTold) {
   checker.submitted({"j-2", "red", "batch", "", 1, 1, 1, {"j-1"}}, 100);
   checker.submitted({"j-3", "red", "batch", "", 1, 1, 1, {"j-2"}}, 100);
--- /dev/null
+++ b/tests/close_looks_test.cpp
@@ -0,0 +1,198 @@
+// Users who ask at all nodes within milliseconds, and repeat the submission, right after a job was accepted, ended or cancelled:
+// no node may answer something older than any other one did before it was asked, nor give an answer that was held up on its way
+// after another leader could have given a newer one. docs/design.md, "What a freeze just there does".
+#include <gtest/gtest.h>
+
+#include "town.hpp"
+
+namespace thistle {
+namespace {
+
+using testing_::wait;
+
+constexpr rig::Times kTimes{0.5, 4, 8, 0.05};  // report, lease, cancel, pull
+
+std::string status_in(const HttpResult& r) {
+  if (r.is(404)) return "unknown";
+  if (r.is(400) || r.is(422)) return "refused";
+  if (!r.is(200) && !r.is(201)) return "";
+  return nlohmann::json::parse(r.body).at("status");
+}
+
+// What a leader answers while it leads is held up on its way through a follower, until the next leader has told a user something
+// newer. Neither the follower nor the first leader's connection to it gives the older one to its user then.
+struct Held {
+  const char* name;
+  bool known;                      // the job is accepted before
+  const char *method, *path, *body;  // null: the submission of the job
+  friend std::ostream& operator<<(std::ostream& out, const Held& h) { return out << h.name; }
+};
+class HeldAnswer : public testing_::Town, public testing::WithParamInterface<Held> {
+ protected:
+  HeldAnswer() : Town(kTimes) {}
+};
+TEST_P(HeldAnswer, IsNotGivenAfterANewerOne) {
+  const Held& held = GetParam();
+  Tuning tuning = testing_::one_level();
+  tuning.hold_ms = 500;  // another one leads well within the time for which a follower waits
+  begin(3, 0, "", tuning);
+  bool met = false;
+  for (int round = 1; round <= 4 && !met; ++round) {
+    const std::string uid = "j-" + std::to_string(round);
+    if (held.known) {
+      ASSERT_TRUE(cluster->submit_until(uid, 20));
+    }
+    ASSERT_TRUE(cluster->submit_until("j-9", 20));
+    const auto leader = cluster->leader(), follower = (leader + 1) % 3, next = (leader + 2) % 3;
+    ASSERT_TRUE(cluster->eventually(10, [&] { return cluster->ask(follower, "GET", "/v1/jobs/j-9").is(200); }));
+    // The follower learns nothing of the next leader.
+    relays.at({next, follower})->cut(true);
+    relays.at({follower, leader})->hold_answers(true);
+    HttpResult answer;
+    double answered = 0;
+    std::jthread user([&] {
+      answer = held.method ? cluster->ask(follower, held.method, "/v1/jobs/" + uid + held.path, "")
+                           : cluster->ask(follower, "POST", "/v1/jobs", held.body ? R"({"uid":")" + uid + held.body : testing_::job_body(uid));
+      answered = steady_now();
+    });
+    wait(0.1);
+    cluster->state.door(leader).refuses = cluster->state.door(follower).refuses = true;
+    std::string newer;
+    cluster->eventually(1.4, [&] {
+      if (cluster->state.leader() != "host-" + std::to_string(next)) return false;
+      newer = status_in(held.known || !held.method ? cluster->ask(next, "POST", "/v1/jobs/" + uid + "/withdraw") : cluster->submit(next, uid));
+      if (newer == "unknown") newer = status_in(cluster->submit(next, uid));  // what was refused is accepted
+      return !newer.empty();
+    });
+    met = !newer.empty() && answered == 0;
+    const double let_out = steady_now();
+    relays.at({follower, leader})->hold_answers(false);
+    user.join();
+    // Only one that came then, and not its time limit, shows anything.
+    met = met && answered - let_out < 0.3;
+    if (met) {
+      EXPECT_TRUE(answer.is(503)) << held.name << ": " << answer.status << " " << answer.body << " after " << newer;
+    }
+    cluster->state.door(leader).refuses = cluster->state.door(follower).refuses = false;
+    relays.at({next, follower})->cut(false);
+  }
+  EXPECT_TRUE(met) << "the answer was held while another one led";
+}
+INSTANTIATE_TEST_SUITE_P(Kinds, HeldAnswer,
+                         testing::Values(Held{"poll", true, "GET", "", nullptr}, Held{"first", false, nullptr, nullptr, nullptr},
+                                         Held{"repeat", true, nullptr, nullptr, nullptr},
+                                         Held{"unknown", false, "GET", "", nullptr},
+                                         Held{"withdrawal", false, "POST", "/withdraw", nullptr},
+                                         Held{"malformed", false, nullptr, nullptr, "\",\"pieces\":-1}"}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+class CloseLooks : public testing_::Town, public testing::WithParamInterface<std::size_t> {
+ protected:
+  CloseLooks() : Town(kTimes) {}
+  void look(const std::string& uid, std::size_t node, bool submission) {
+    const bool at_deposed = deposed == node && newer_told.load();
+    const double sent = steady_now();
+    const auto r = submission ? cluster->submit(node, uid) : cluster->ask(node, "GET", "/v1/jobs/" + uid);
+    const auto status = status_in(r);
+    if (!status.empty()) checker.told(uid, status, sent, steady_now());
+    if (at_deposed && deposed == node) ++asked_deposed;
+    if (status == "done" || status == "aborted") ++told_ended;
+  }
+  // At all nodes at once, again and again, submissions repeated among them.
+  void look_everywhere(const std::string& uid) {
+    std::vector<std::jthread> lookers;
+    for (std::size_t i = 0; i < cluster->users.size(); ++i) {
+      lookers.emplace_back([this, uid, i] {
+        for (int k = 0; k < 4; ++k) look(uid, i, k % 2 == 1);
+      });
+    }
+  }
+  void use(unsigned user) {
+    std::mt19937 random(user);
+    for (int n = 1; !over; ++n) {
+      const std::string uid = "j-" + std::to_string(user * 1000 + n);
+      checker.submitted({uid, "red", "batch", "", 2, 1, 0.3 + 0.1 * (random() % 6)}, steady_now());
+      const bool cancels = random() % 3 == 0;
+      if (cancels) checker.wants_withdrawn(uid);
+      HttpResult r;
+      double sent = 0;
+      do {
+        sent = steady_now();
+        r = cluster->submit(random() % cluster->users.size(), uid);
+        if (!r.is(201) && !r.is(200)) wait(0.05);
+      } while (!over && !r.is(201) && !r.is(200));
+      if (over) break;
+      checker.told(uid, status_in(r), sent, steady_now());
+      newer_told = true;
+      if (!cancels || random() % 2) look_everywhere(uid);
+      for (const double until = steady_now() + 6; steady_now() < until && !over; wait(0.02)) {
+        const auto node = random() % cluster->users.size();
+        sent = steady_now();
+        const auto status = status_in(cancels ? cluster->ask(node, "POST", "/v1/jobs/" + uid + "/withdraw")
+                                              : cluster->ask(node, "GET", "/v1/jobs/" + uid));
+        if (!status.empty()) checker.told(uid, status, sent, steady_now());
+        if (status != "done" && status != "aborted") continue;
+        look_everywhere(uid);
+        break;
+      }
+    }
+  }
+  // Asked by its users after others told something newer, while another one leads and it does not know that.
+  std::atomic<std::size_t> asked_deposed{0}, told_ended{0};
+  std::atomic<std::size_t> deposed{SIZE_MAX};
+  std::atomic<bool> newer_told{false}, over{false};
+};
+
+TEST_P(CloseLooks, NoNodeAnswersSomethingOlder) {
+  const auto n = GetParam();
+  begin(n, 3);
+  ASSERT_TRUE(cluster->submit_until("j-9", 20));
+  std::vector<std::jthread> users;
+  for (unsigned u = 1; u <= 3; ++u) users.emplace_back([this, u] { use(u); });
+  std::vector<std::size_t> asked;
+  const auto away = [&](std::size_t leader, double for_s, const std::function<void(bool)>& trouble) {
+    trouble(true);
+    EXPECT_TRUE(cluster->eventually(10, [&] {
+      const auto now = cluster->state.leader();
+      return !now.empty() && now != "host-" + std::to_string(leader);
+    }));
+    newer_told = false;  // only what is told from here on
+    deposed = leader;
+    const auto before = asked_deposed.load();
+    wait(for_s);
+    deposed = SIZE_MAX;
+    asked.push_back(asked_deposed - before);
+    trouble(false);
+    wait(1);
+  };
+  auto leader = cluster->leader();
+  away(leader, 1, [&](bool is) { cluster->state.door(leader).refuses = is; });
+  leader = cluster->leader();
+  // It reaches nobody but its workers and users.
+  away(leader, 3, [&](bool is) {
+    part(leader, is);
+    cluster->state.door(leader).refuses = is;
+  });
+  EXPECT_GT(asked.back(), 10u) << "asked while it is parted and another one leads";
+  leader = cluster->leader();
+  // What it sends is carried out, and no answer comes: it stands still towards the state service, and is parted.
+  away(leader, 2, [&](bool is) {
+    part(leader, is);
+    cluster->state.door(leader).frozen = is;
+  });
+  EXPECT_GT(asked.back(), 10u) << "asked while nothing answers it and another one leads";
+  for (const double pause : {0.05, 0.0}) {
+    leader = cluster->leader();
+    cluster->stop(leader);
+    wait(pause);
+    cluster->start(leader, testing_::one_level());
+    wait(1);
+  }
+  over = true;
+  users.clear();
+  EXPECT_GT(told_ended.load(), 50u);
+}
+INSTANTIATE_TEST_SUITE_P(Controllers, CloseLooks, testing::Values(3, 5));
+
+}  // namespace
+}  // namespace thistle
--- a/tests/gap_test.cpp
+++ b/tests/gap_test.cpp
@@ -3,42 +3,21 @@
 // longer than cancel_s after its user was told. docs/design.md, "Who may renew a lease in doubt".
 #include <gtest/gtest.h>
 
-#include "cluster.hpp"
-#include "rig/checker.hpp"
-#include "rig/relay.hpp"
-#include "rig/worker.hpp"
-#include "transport/threads.hpp"
+#include "town.hpp"
 
 namespace thistle {
 namespace {
 
-using testing_::Cluster;
+using testing_::wait;
 
 constexpr rig::Times kTimes{0.5, 4, 8, 0.1};  // report, lease, cancel, pull
 constexpr double kOutage = 13;                // longer than cancel_s and what an answer takes
 
-class Gap : public testing::Test {
+class Gap : public testing_::Town {
  protected:
-  // `site`: of all controllers; the machines are in zone x.
+  Gap() : Town(kTimes) {}
   void begin(std::size_t n, const std::string& site = "") {
-    cluster = std::make_unique<Cluster>(n, 1, std::vector<Tuning>{testing_::one_level()}, [&](auto& settings) {
-      for (std::size_t i = 0; i < n; ++i) {
-        Settings& s = settings[i];
-        s.site = site;
-        s.report_s = kTimes.report, s.lease_s = kTimes.lease, s.cancel_s = kTimes.cancel;
-        for (auto& peer : s.peers) {
-          const std::size_t k = std::stoul(peer.label.substr(5));
-          peer.site = site;
-          relays[{i, k}] = std::make_unique<rig::Relay>(peer.address);
-          peer.address = relays[{i, k}]->address();
-        }
-      }
-    });
-    for (int i = 0; i < 2; ++i)
-      workers.push_back(std::make_unique<rig::Worker>("m-" + std::to_string(i), "x", cluster->users, checker, kTimes, 7 + i));
-    ticker = std::jthread([this](std::stop_token stop) {
-      while (pause_for(stop, 0.02)) checker.tick(steady_now());
-    });
+    Town::begin(n, 2, site);
     for (const auto* uid : {"j-1", "j-2"}) {
       checker.submitted({uid, "red", "batch", "", 2, 1, 1000}, steady_now());
       ASSERT_TRUE(cluster->submit_until(uid, 20));
@@ -47,19 +26,6 @@
     }
     first = cluster->leader();
   }
-  void TearDown() override {
-    ticker = {};
-    if (cluster) cluster->state.outage(false);
-    workers.clear();
-    cluster.reset();
-    relays.clear();
-    EXPECT_TRUE(checker.broken().empty()) << checker.broken().size() << " broken, first " << checker.broken().front();
-  }
-  std::size_t running(const std::string& uid) {
-    const auto r = cluster->ask(cluster->leader(), "GET", "/v1/jobs/" + uid);
-    const auto at = r.body.find("\"running\":");
-    return at == std::string::npos ? 0 : std::stoul(r.body.substr(at + 10));
-  }
   // One try by way of this controller; whether its user is told that the job is cancelled.
   bool withdraw(std::size_t node, const std::string& uid) {
     checker.wants_withdrawn(uid);
@@ -68,20 +34,7 @@
     if (r.is(200)) checker.told(uid, "aborted", steady_now());
     return r.is(200);
   }
-  void part(std::size_t a, std::size_t b, bool is) {
-    relays.at({a, b})->cut(is);
-    relays.at({b, a})->cut(is);
-  }
-  void hang(double for_s) {
-    for (auto& w : workers) w->hang(steady_now() + for_s);
-  }
-  void wait(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
 
-  rig::Checker checker{{{"red", 1000}}, kTimes.cancel};
-  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<rig::Relay>> relays;
-  std::unique_ptr<Cluster> cluster;
-  std::vector<std::unique_ptr<rig::Worker>> workers;
-  std::jthread ticker;
   std::size_t first = 0;
 };
 
--- /dev/null
+++ b/tests/town.hpp
@@ -0,0 +1,73 @@
+// Real controllers on loopback with the network between them, machines that keep to the protocol, and the rig's checker.
+#pragma once
+#include "cluster.hpp"
+#include "rig/checker.hpp"
+#include "rig/relay.hpp"
+#include "rig/worker.hpp"
+#include "transport/threads.hpp"
+
+namespace thistle::testing_ {
+
+inline void wait(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
+
+class Town : public testing::Test {
+ protected:
+  explicit Town(rig::Times t, double cores = 1000) : times(t), checker({{"red", cores}}, t.cancel) {}
+  // `site`: of all controllers; the machines are in zone x.
+  void begin(std::size_t n, std::size_t machines, const std::string& site = "", const Tuning& tuning = one_level(),
+             const std::function<void(Settings&)>& change = {}) {
+    cluster = std::make_unique<Cluster>(n, 1, std::vector<Tuning>{tuning}, [&](auto& settings) {
+      for (std::size_t i = 0; i < n; ++i) {
+        Settings& s = settings[i];
+        s.site = site;
+        s.report_s = times.report, s.lease_s = times.lease, s.cancel_s = times.cancel;
+        for (auto& peer : s.peers) {
+          const std::size_t k = std::stoul(peer.label.substr(5));
+          peer.site = site;
+          relays[{i, k}] = std::make_unique<rig::Relay>(peer.address);
+          peer.address = relays[{i, k}]->address();
+        }
+        if (change) change(s);
+      }
+    });
+    for (std::size_t i = 0; i < machines; ++i)
+      workers.push_back(std::make_unique<rig::Worker>("m-" + std::to_string(i), "x", cluster->users, checker, times, 7 + i));
+    ticker = std::jthread([this](std::stop_token stop) {
+      while (pause_for(stop, 0.02)) checker.tick(steady_now());
+    });
+  }
+  void TearDown() override {
+    ticker = {};
+    if (cluster) cluster->state.outage(false);
+    workers.clear();
+    cluster.reset();
+    relays.clear();
+    EXPECT_TRUE(checker.broken().empty()) << checker.broken().size() << " broken, first " << checker.broken().front();
+  }
+  std::size_t running(const std::string& uid) {
+    const auto r = cluster->ask(cluster->leader(), "GET", "/v1/jobs/" + uid);
+    const auto at = r.body.find("\"running\":");
+    return at == std::string::npos ? 0 : std::stoul(r.body.substr(at + 10));
+  }
+  // Between this controller and another one, both ways; and between it and all others.
+  void part(std::size_t a, std::size_t b, bool is) {
+    relays.at({a, b})->cut(is);
+    relays.at({b, a})->cut(is);
+  }
+  void part(std::size_t a, bool is) {
+    for (std::size_t k = 0; k < cluster->users.size(); ++k)
+      if (k != a) part(a, k, is);
+  }
+  void hang(double for_s) {
+    for (auto& w : workers) w->hang(steady_now() + for_s);
+  }
+
+  const rig::Times times;
+  rig::Checker checker;
+  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<rig::Relay>> relays;
+  std::unique_ptr<Cluster> cluster;
+  std::vector<std::unique_ptr<rig::Worker>> workers;
+  std::jthread ticker;
+};
+
+}  // namespace thistle::testing_
