A machine that has work came: not released as dead because a list that lags calls it booting

Change: what is placed on a machine shows that it came. The stand-in cluster takes a cloud; transactions can be slow.

--- a/rig/state_service.hpp
+++ b/rig/state_service.hpp
@@ -52,6 +52,7 @@
     std::atomic<double> loses{0};         // share of transactions that are executed, and whose answer never comes
     std::atomic<double> late{0};          // share of transactions that are executed after their sender gave up
     std::atomic<double> late_most{1.8};   // seconds until these are executed, 1.8 at least: after newer ones
+    std::atomic<double> slow{0};          // seconds that each transaction waits before it is executed
     std::atomic<double> repeats{0};       // share of transactions that are executed once more, later
     // So many requests more (watches and renewals aside), and at the next its controller is to end: the request is executed
     // or not, and nobody answers it. Below 0: none.
@@ -269,6 +270,7 @@
 
   HttpReply on(Door& door, const HttpCall& call) {
     const std::string target(call.target);
+    if (door.slow > 0 && target == "/txn") std::this_thread::sleep_for(std::chrono::duration<double>(door.slow.load()));
     std::unique_lock lock(mutex_);
     const bool counts = !target.starts_with("/follow") && !target.ends_with("/renew");
     if (counts && door.fuse >= 0 && --door.fuse < 0) {
--- a/rig/worker.hpp
+++ b/rig/worker.hpp
@@ -1,5 +1,6 @@
 // One stand-in machine of the rig and of tests with real controllers. Time is real.
 #pragma once
+#include <algorithm>
 #include <atomic>
 #include <list>
 #include <map>
@@ -45,6 +46,11 @@
     std::lock_guard lock(mutex_);
     return tenure_;
   }
+  // Tasks on it that have not ended.
+  [[nodiscard]] std::size_t holds() {
+    std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(pieces_.begin(), pieces_.end(), [](const auto& p) { return !p.second.exited; }));
+  }
   // It goes, with all that is on it.
   void die();
 
--- a/src/planning/renting.cpp
+++ b/src/planning/renting.cpp
@@ -21,6 +21,9 @@
 }
 
 Coming coming(const Host& host, const Flavor* flavor, double steady) {
+  // One that has work came, whatever a list that lags says, though this leader has not heard of it (found by new_machines_test: up within
+  // a second and at work, they stood still as the next leader began, which took them for dead and released them).
+  if (!host.placed.empty()) return Coming::no;
   if (!host.listed || host.gone || host.reported || host.leaving || !flavor) return Coming::no;
   if (host.status == Machine::Status::failed) return Coming::no;
   // Listed as running it is up; its report is on the way, or the machine is cut off.
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -1,4 +1,4 @@
-// Real controllers on loopback, with an in-memory state service, a cloud that has no machines, and users.
+// Real controllers on loopback, with an in-memory state service, a cloud that has no machines unless a test gives one, and users.
 #pragma once
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
@@ -31,10 +31,11 @@
  public:
   // `tunings`: one for each controller, or one for all. `change`: is given the settings before any controller starts.
   explicit Cluster(std::size_t n, unsigned seed = 1, const std::vector<Tuning>& tunings = {one_level()},
-                   const std::function<void(std::vector<Settings>&)>& change = {})
+                   const std::function<void(std::vector<Settings>&)>& change = {}, const HttpServer::Handler& cloud = {})
       : state(n, seed),
         cloud_address_(free_address()),
-        cloud_(cloud_address_, 20, [](const HttpCall& c) -> HttpReply {
+        cloud_(cloud_address_, 20, [cloud](const HttpCall& c) -> HttpReply {
+          if (cloud) return cloud(c);
           if (c.target == kFlavorsPath) return {200, kFlavors};
           if (c.method == "GET") return {200, R"({"hosts":[],"truncated":false})"};
           return {503, R"({"error":"no capacity"})"};
--- a/tests/town.hpp
+++ b/tests/town.hpp
@@ -29,7 +29,7 @@
         }
         if (change) change(s);
       }
-    });
+    }, cloud);
     for (std::size_t i = 0; i < machines; ++i)
       workers.push_back(std::make_unique<rig::Worker>("m-" + std::to_string(i), "x", cluster->users, checker, times, 7 + i));
     ticker = std::jthread([this](std::stop_token stop) {
@@ -62,6 +62,7 @@
     for (auto& w : workers) w->hang(steady_now() + for_s);
   }
 
+  HttpServer::Handler cloud;  // in place of one that has no machines
   const rig::Times times;
   rig::Checker checker;
   std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<rig::Relay>> relays;
