--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -168,16 +168,27 @@
   EXPECT_EQ(book.accounts().left(job.team, kNone).cores, 2);
 }
 
-TEST(Accounts, WhatWorkersReportBesideWhatIsPlacedCounts) {
+// A limit of 4 cores, and one task of one core that runs on m-1.
+struct OneRuns {
+  OneRuns() {
+    book.apply(AcceptRecord{submission("j-1", 3, 1), 0.5, 1});
+    j = book.find("j-1");
+    h = book.host_named("m-1");
+    book.apply(StartRecord{"j-1", 1, 2, {{"m-1", 1, {{0, 1}}}}});
+    red = book.accounts().find("red");
+    placed().seen = true;
+    placed().phase = Phase::running;
+  }
+  Placement& placed() { return *book.placement({j, 0}); }
   Book book = book_of_red(4);
-  book.apply(AcceptRecord{submission("j-1", 3, 1), 0.5, 1});
-  const JobIdx j = book.find("j-1");
-  const HostIdx h = book.host_named("m-1");
-  book.apply(StartRecord{"j-1", 1, 2, {{"m-1", 1, {{0, 1}}}}});
-  const TeamIdx red = book.accounts().find("red");
-  Placement& placed = *book.placement({j, 0});
-  placed.seen = true;
-  placed.phase = Phase::running;
+  JobIdx j;
+  HostIdx h;
+  TeamIdx red;
+};
+
+TEST(Accounts, WhatWorkersReportBesideWhatIsPlacedCounts) {
+  OneRuns w;
+  auto& [book, j, h, red] = w;
   book.host(h).pieces = {{{j, 0}, 1, Phase::running, ""}};
   book.count_unplaced();
   EXPECT_EQ(book.accounts().left(red, kNone).cores, 3);
@@ -192,21 +203,14 @@
 
 // Found by reading: as many tasks of its earlier session as it holds now hid those.
 TEST(Accounts, WhatAnEarlierSessionHeldHidesNothingThatRunsNow) {
-  Book book = book_of_red(4);
-  book.apply(AcceptRecord{submission("j-1", 3, 1), 0.5, 1});
-  const JobIdx j = book.find("j-1");
-  const HostIdx h = book.host_named("m-1");
-  book.apply(StartRecord{"j-1", 1, 2, {{"m-1", 1, {{0, 1}}}}});
-  const TeamIdx red = book.accounts().find("red");
-  Placement& placed = *book.placement({j, 0});
-  placed.seen = true;
-  placed.phase = Phase::running;
+  OneRuns w;
+  auto& [book, j, h, red] = w;
   book.host(h).tenure = 2;
   book.host(h).pieces = {{{j, 1}, 1, Phase::running, ""}};
   book.count_unplaced();
   EXPECT_EQ(book.accounts().left(red, kNone).cores, 2) << "the end of the earlier one is not in the ledger yet";
   book.host(h).tenure = 1;
-  placed.closing = true;
+  w.placed().closing = true;
   book.count_unplaced();
   EXPECT_EQ(book.accounts().left(red, kNone).cores, 2) << "nor is this one";
 }
