Leader: planning paced by processor time, repeated reports not parsed, constant-cost accepts

Each accept scanned all connections. Change: a pass rests until planning has taken at most a quarter of the process's share; a gang's later slots are taken from a heap, image fetches computed once a job and machine, with the same plan; ReportMemo recognises repeats by their bytes; names are looked up without a copy; the acceptor files connections by standing; a frame between controllers is read by one system call.

--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -67,7 +67,7 @@
 }
 
 JobIdx Book::find(std::string_view uid) const {
-  auto it = by_uid_.find(std::string(uid));
+  auto it = by_uid_.find(uid);
   return it == by_uid_.end() ? JobIdx{} : it->second;
 }
 
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -231,10 +231,10 @@
   Interner<ImageIdx> images_;
   Interner<ClassIdx> classes_;
   std::deque<Job> jobs_;  // never moved: hosts point to placements
-  std::unordered_map<std::string, JobIdx> by_uid_;
+  NameMap<JobIdx> by_uid_;
   std::vector<JobIdx> live_;
   std::vector<Host> hosts_;
-  std::unordered_map<std::string, HostIdx> by_name_;
+  NameMap<HostIdx> by_name_;
   std::vector<Flavor> flavors_;
   std::vector<int> flavor_of_kind_;
   Blame blame_;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -33,11 +33,13 @@
 #include "ledger/tail.hpp"
 #include "ledger/write_budget.hpp"
 #include "planning/floor.hpp"
+#include "planning/pass_pacing.hpp"
 #include "planning/planner.hpp"
 #include "planning/renting.hpp"
 #include "planning/turnover.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_messages.hpp"
+#include "protocol/report_memo.hpp"
 #include "protocol/settings.hpp"
 #include "rollout/levels.hpp"
 #include "transport/frames.hpp"
@@ -114,7 +116,8 @@
   Answer answer_known(const Job& job, unsigned code, bool with_counts);
   FramePool* leader_pool();  // nullptr when no peer is known to lead
   HttpReply forward(Lock& lock, const UserRoute& route, const HttpCall& call);
-  HttpReply on_report(std::string_view body, bool forwarded);
+  // A report as it came: `memo` is of the worker's own connection, or null for one that a peer passed on.
+  HttpReply on_report(std::string_view body, ReportMemo* memo);
   HttpReply health();
   HttpReply metrics();
 
@@ -196,7 +199,8 @@
 
   // ---- passes (passes.cpp)
   void pass_duty(std::stop_token stop);
-  double pass(Lock& lock);  // seconds that making the plan took
+  // Makes one plan and commits its starts; what making the plan cost.
+  PassCost pass(Lock& lock);
   PlanInput plan_input(double wall, double steady, const std::set<JobIdx>& within);
   std::set<JobIdx> within_guarantee() const;
   void keep_accelerators(PlanInput& in, double steady);
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 constexpr double kIdlePeriod = 1.0;        // a pass at least this often
-constexpr double kRestAfterPass = 4.0;     // times as long as the pass took
 constexpr double kStartWait = 30.0;
 constexpr double kSilentReports = 1.5;     // report periods without a report: no new work goes there
 constexpr double kTimeGrain = 0.5;        // of ends in the profiles: far finer than estimates are
@@ -34,11 +33,11 @@
     pass_wanted_.wait_for(lock, stop, std::chrono::duration<double>(kIdlePeriod), [&] { return pass_due_; });
     if (stop.stop_requested()) return;
     pass_due_ = false;
-    double took = 0;
-    if (decisive()) took = pass(lock);
+    PassCost cost;
+    if (decisive()) cost = pass(lock);
     lock.unlock();
-    // A pass holds the lock that reports and submissions wait for: the rest of the time is theirs.
-    if (!pause_for(stop, std::max(tuning_.pass_period_s, kRestAfterPass * took))) return;
+    // A pass holds the lock that reports and submissions wait for, and takes the processor from them.
+    if (!pause_for(stop, rest_after_pass(cost, {tuning_.pass_period_s, settings_.cpu}))) return;
     lock.lock();
   }
 }
@@ -337,7 +336,8 @@
     if (book.job(j).waiting > 0 || book.job(j).spec.shape != Shape::service) active_at_ = steady;
 }
 
-double Controller::pass(Lock& lock) {
+PassCost Controller::pass(Lock& lock) {
+  const double processor_before = thread_processor_seconds();
   const double steady = steady_now(), wall = wall_now();
   const auto number = term_number_;
   Book& book = *term_->book;
@@ -410,10 +410,11 @@
     touched.insert(slot.host);
   }
   ++counters_.passes;
-  const double took = steady_now() - steady;
-  counters_.pass_seconds = counters_.pass_seconds + took;
-  pass_times_.add(took);
-  spdlog::debug("pass: {:.1f} ms, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped, {:.0f} ms behind", took * 1000,
+  const PassCost cost{steady_now() - steady, thread_processor_seconds() - processor_before};
+  counters_.pass_seconds = counters_.pass_seconds + cost.elapsed_s;
+  counters_.pass_processor_seconds = counters_.pass_processor_seconds + cost.processor_s;
+  pass_times_.add(cost.elapsed_s);
+  spdlog::debug("pass: {:.1f} ms, {:.2f} ms of processor, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped, {:.0f} ms behind", cost.elapsed_s * 1000, cost.processor_s * 1000,
                 input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size(),
                 preemption.victims.size(), lag_ * 1000);
   if (!starts.empty()) {
@@ -430,12 +431,12 @@
     const auto ticket = enqueue(std::move(records));
     // Nothing starts, and no other pass is made, until it is certain that the ledger has it.
     while (!wait_applied(lock, ticket, kStartWait))
-      if (term_number_ != number) return took;
+      if (term_number_ != number) return cost;
     starting_.clear();
-    if (!decisive()) return took;  // the reports' answers carry the starts once leadership is certain again
+    if (!decisive()) return cost;  // the reports' answers carry the starts once leadership is certain again
   }
   for (auto h : touched) poke(h);
-  return took;
+  return cost;
 }
 
 }  // namespace thistle
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -26,6 +26,13 @@
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
 
+namespace {
+ReportMemo& memo_of(std::any& session) {
+  if (!session.has_value()) session.emplace<ReportMemo>();
+  return std::any_cast<ReportMemo&>(session);
+}
+}  // namespace
+
 HttpReply Controller::on_http(const HttpCall& call) {
   const UserRoute route = route_of(call.method, call.target);
   using Kind = UserRoute::Kind;
@@ -34,7 +41,7 @@
     case Kind::wrong_method: return error_reply(405, "wrong method");
     case Kind::health: return health();
     case Kind::metrics: return metrics();
-    case Kind::report: return on_report(call.body, false);
+    case Kind::report: return on_report(call.body, &memo_of(call.session));
     default: break;
   }
   Lock lock(mutex_);
@@ -76,7 +83,7 @@
     if (call->target == kTeamsTarget) return pack(HttpReply{200, pack(teams_file_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
     const auto reply =
-        route.kind == UserRoute::Kind::report ? on_report(call->body, true) : on_user(route, call->body);
+        route.kind == UserRoute::Kind::report ? on_report(call->body, nullptr) : on_user(route, call->body);
     return pack(reply, received);
   }
   spdlog::error("malformed frame from a peer, kind {}", frame.kind);
@@ -274,14 +281,18 @@
   return answer_known(job, 200, false);
 }
 
-HttpReply Controller::on_report(std::string_view body, bool forwarded) {
-  Report report;
+HttpReply Controller::on_report(std::string_view body, ReportMemo* memo) {
+  const bool forwarded = memo == nullptr;
+  ReportMemo unremembered;
+  const Report* read = nullptr;
   try {
-    report = parse_report(body);
+    read = &(forwarded ? unremembered : *memo).read(body);
   } catch (const Malformed& e) {
     spdlog::error("malformed report: {}", e.what());
     return error_reply(400, e.what());
   }
+  const Report& report = *read;
+  if (report.repeats) ++counters_.repeated_reports;
   Lock lock(mutex_);
   double now = steady_now();
   if (role_ != Role::follower && report.epoch > term_->epoch) {
@@ -403,12 +414,14 @@
   line("preempted_total", counters_.preempted.load());
   line("passes_total", counters_.passes.load());
   line("pass_seconds_total", counters_.pass_seconds.load());
+  line("pass_processor_seconds_total", counters_.pass_processor_seconds.load());
   line("commits_total", counters_.commits.load());
   line("commit_seconds_total", counters_.commit_seconds.load());
   line("writes_total", counters_.writes.load());
   line("writes_allowed_per_second", writes_.rate());
   line("start_stalled_seconds", start_watch_.stalled(steady_now()));
   line("reports_total", counters_.reports.load());
+  line("reports_repeated_total", counters_.repeated_reports.load());
   line("suspected_jobs_total", counters_.suspected.load());
   line("machines_set_aside_total", counters_.set_aside.load());
   line("machines_deaf_total", counters_.deaf.load());
--- a/src/fleet/dealings.cpp
+++ b/src/fleet/dealings.cpp
@@ -58,6 +58,14 @@
   return p && p->host == h && p->tenure == tenure && p->attempt == attempt;
 }
 
+// Whether the report tells of the same tasks as the message from which `host.pieces` was made. What has exited, or belongs to
+// a job that was not known then, is looked at anew.
+bool says_the_same(const Report& report, const Host& host) {
+  if (report.repeats != host.serial || host.pieces.size() != report.pieces.size()) return false;
+  return std::none_of(host.pieces.begin(), host.pieces.end(),
+                      [](const SeenPiece& s) { return s.phase == Phase::exited || !s.ref.job.valid(); });
+}
+
 bool cancelled(const Book& book, JobIdx j) { return j.valid() && book.job(j).status == JobStatus::aborted; }
 
 }  // namespace
@@ -108,6 +116,7 @@
   book.describe(h, report.address, report.kind, report.yard, report.loaner);
   Ends ends;
   const bool new_tenure = report.tenure > host.tenure;
+  const bool repeated = !new_tenure && says_the_same(report, host);
   if (new_tenure) host.doubt_epoch = 0;
   // A later tenure: the worker forgot all it held, and commands of the earlier one are refused. Looked for in each report,
   // since a start planned for the earlier one may get into the ledger after the later one was heard of: it would stay
@@ -137,38 +146,45 @@
   }
   if (host.doubt_epoch != 0 && report.epoch > host.doubt_epoch) host.doubt_epoch = 0;
 
-  host.pieces.clear();
-  for (const auto& piece : report.pieces) {
-    SeenPiece seen;
-    seen.ref = {book.find(piece.id.uid), piece.id.task};
-    seen.attempt = piece.attempt;
-    seen.phase = piece.phase;
-    if (!seen.ref.job.valid()) seen.uid = piece.id.uid;
+  const auto note = [&](const SeenPiece& seen, Cause cause) {
     Placement* p = book.placement(seen.ref);
-    host.pieces.push_back(std::move(seen));
-    if (!owned(p, h, report.tenure, piece.attempt)) continue;
-    const PieceRef ref = host.pieces.back().ref;
+    if (!owned(p, h, report.tenure, seen.attempt)) return;
     p->seen = true;
-    if (p->phase != piece.phase) {
-      p->phase = piece.phase;
-      if (piece.phase == Phase::running && p->running_at == 0) p->running_at = now.wall;
+    if (p->phase != seen.phase) {
+      p->phase = seen.phase;
+      if (seen.phase == Phase::running && p->running_at == 0) p->running_at = now.wall;
     }
-    if (piece.phase == Phase::running && book.blame().suspect(ref.job) && now.wall - p->running_at > kProven &&
-        book.job(ref.job).spec.shape == Shape::service)
-      book.blame().succeeded(ref.job, h);
-    if (piece.phase != Phase::exited || p->closing) continue;
+    if (seen.phase == Phase::running && book.blame().suspect(seen.ref.job) && now.wall - p->running_at > kProven &&
+        book.job(seen.ref.job).spec.shape == Shape::service)
+      book.blame().succeeded(seen.ref.job, h);
+    if (seen.phase != Phase::exited || p->closing) return;
     p->closing = true;
     out.changed = true;
-    if (piece.cause == Cause::done) {
-      ends.done(book, ref, now.wall);
-    } else {
-      const bool failed = piece.cause == Cause::error || piece.cause == Cause::unknown;
-      ends.off(book, ref, p->attempt, failed ? now.wall : 0);
-      if (piece.cause == Cause::no_room || piece.cause == Cause::busy) host.no_room_until = now.steady + kNoRoomPause;
+    if (cause == Cause::done) {
+      ends.done(book, seen.ref, now.wall);
+      return;
+    }
+    const bool failed = cause == Cause::error || cause == Cause::unknown;
+    ends.off(book, seen.ref, p->attempt, failed ? now.wall : 0);
+    if (cause == Cause::no_room || cause == Cause::busy) host.no_room_until = now.steady + kNoRoomPause;
+  };
+  if (repeated) {
+    // What is seen there stays as it is; only the book may have changed since.
+    for (const SeenPiece& seen : host.pieces) note(seen, Cause::none);
+  } else {
+    host.pieces.clear();
+    for (const auto& piece : report.pieces) {
+      SeenPiece seen;
+      seen.ref = {book.find(piece.id.uid), piece.id.task};
+      seen.attempt = piece.attempt;
+      seen.phase = piece.phase;
+      if (!seen.ref.job.valid()) seen.uid = piece.id.uid;
+      note(seen, piece.cause);
+      host.pieces.push_back(std::move(seen));
     }
+    std::sort(host.pieces.begin(), host.pieces.end(),
+              [](const SeenPiece& a, const SeenPiece& b) { return a.ref < b.ref; });
   }
-  std::sort(host.pieces.begin(), host.pieces.end(),
-            [](const SeenPiece& a, const SeenPiece& b) { return a.ref < b.ref; });
   // A stopped task that the worker does not hold: it is off only when no start can still be on its way.
   if (by_report && report.epoch >= fence_epoch && host.clean(report.epoch)) {
     for (const auto& ref : host.placed) {
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -12,6 +12,7 @@
 constexpr double kEstimateFloor = 10.0;
 constexpr double kShortestRun = 1.0;
 constexpr std::size_t kSpareSteps = 6;  // of a profile, for what the pass puts there
+constexpr double kNotComputed = -1;
 constexpr std::size_t kMostTries = 40;  // slots of a gang looked at behind its first
 
 std::uint32_t whole_units(const Resources& need, const Resources& room) {
@@ -76,6 +77,7 @@
     if (next <= at) continue;
     if (steps_[i].at >= at + duration) break;
     n = std::min(n, whole_units(need, steps_[i].free));
+    if (n == 0) break;
   }
   return n;
 }
@@ -128,6 +130,7 @@
 class Planner {
  public:
   explicit Planner(const PlanInput& input) : in_(input), teams_(input.teams), held_(input.teams.size()) {
+    pull_seconds_.resize(in_.hosts.size());
     profiles_.reserve(in_.hosts.size());
     lent_.reserve(in_.hosts.size());
     for (const auto& h : in_.hosts) {
@@ -142,6 +145,7 @@
     std::stable_sort(order.begin(), order.end(), [](const auto* a, const auto* b) { return goes_before(*a, *b); });
     for (const auto* next : order) {
       PlanJob job = *next;
+      std::fill(pull_seconds_.begin(), pull_seconds_.end(), kNotComputed);
       if (job.gang && job.units > 1) {
         place_gang(job);
       } else {
@@ -152,9 +156,15 @@
   }
 
  private:
-  [[nodiscard]] double duration(const PlanJob& job, const PlanHost& host) const {
+  // Of the job that is being placed: seconds until host `h` has its image. Computed once for each host.
+  double pull(const PlanJob& job, std::size_t h) {
+    double& seconds = pull_seconds_[h];
+    if (seconds == kNotComputed) seconds = pull_on(job, in_.hosts[h]);
+    return seconds;
+  }
+  double duration(const PlanJob& job, std::size_t h) {
     // A claim of 0 s still takes room.
-    return job.service ? kForever : std::max(kShortestRun, pull_on(job, host) + job.run_s);
+    return job.service ? kForever : std::max(kShortestRun, pull(job, h) + job.run_s);
   }
   // Units that the team's limit lets start now, and units that it lets hold a later slot. What is only held does not
   // count against starts: a long queue of one job must not keep the team's next one from starting.
@@ -180,7 +190,7 @@
   // Lower is better among slots at the same time.
   double cost(PlanJob& job, std::size_t h) {
     const PlanHost& host = in_.hosts[h];
-    double c = pull_on(job, host);
+    double c = pull(job, h);
     // Machines with accelerators are left to the work that needs them while there is room elsewhere.
     if (job.need.accelerators == 0 && host.room.accelerators > 0) c += 1000;
     // Spot machines take what may run there, and leave the others to the work that may not.
@@ -196,11 +206,11 @@
 
   void record(PlanJob& job, std::size_t h, std::uint32_t units, double t) {
     const PlanHost& host = in_.hosts[h];
-    profiles_[h].take(job.need * units, t, duration(job, host));
+    profiles_[h].take(job.need * units, t, duration(job, h));
     if (borrows(job, host)) lent_[h] -= job.need * units;
     at(job.zone_used, host.zone.v) += units;
     at(job.host_used, h) += units;
-    (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t, pull_on(job, host)});
+    (t <= in_.now ? plan_.starts : plan_.holds).push_back({job.job, host.host, units, t, pull(job, h)});
   }
 
   void place_units(PlanJob& job) {
@@ -223,8 +233,8 @@
       // With no later slot left to give, only room that is free now matters.
       if (holds_full() && !job.need.fits(profiles_[h].steps().front().free)) return;
       ++plan_.looks;
-      const double t = profiles_[h].earliest(job.need, duration(job, in_.hosts[h]), from);
-      if (t < kForever) queue.push({t, job.service ? t + pull_on(job, in_.hosts[h]) : t, cost(job, h), h});
+      const double t = profiles_[h].earliest(job.need, duration(job, h), from);
+      if (t < kForever) queue.push({t, job.service ? t + pull(job, h) : t, cost(job, h), h});
     };
     for (std::size_t h = 0; h < in_.hosts.size(); ++h)
       if (may_run_on(job, in_.hosts[h]) && lends(job, h)) offer(h, in_.now);
@@ -243,7 +253,7 @@
       if (used >= job.zone_cap || !lends(job, c.h)) continue;
       if (job.one_zone && elsewhere(job.zone_used, host.zone)) continue;
       std::uint32_t n = std::min(left, job.zone_cap - used);
-      n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, host)));
+      n = std::min(n, profiles_[c.h].fits(job.need, c.t, duration(job, c.h)));
       if (job.service) n = std::min(n, 1u);
       if (borrows(job, host)) n = std::min(n, whole_units(job.need, lent_[c.h]));
       const bool now = c.t <= in_.now;
@@ -284,7 +294,7 @@
     std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
     for (const auto& hosts : sets) {
       double longest = 0;
-      for (auto h : hosts) longest = std::max(longest, duration(job, in_.hosts[h]));
+      for (auto h : hosts) longest = std::max(longest, duration(job, h));
       // Before all of its units have a machine that takes one at all, a gang need not be tried.
       std::vector<std::pair<double, std::uint32_t>> first;
       for (auto h : hosts) {
@@ -305,25 +315,21 @@
       std::vector<std::pair<double, std::size_t>> ordered;
       for (auto h : hosts) ordered.emplace_back(cost(job, h), h);
       std::sort(ordered.begin(), ordered.end());
-      std::vector<double> times{from};
-      for (auto h : hosts)
-        for (const auto& s : profiles_[h].steps())
-          if (s.at > from) times.push_back(s.at);
-      std::sort(times.begin(), times.end());
-      times.erase(std::unique(times.begin(), times.end()), times.end());
+      // Times at which room comes free, earliest first: mostly only the first few are looked at.
+      std::priority_queue<double, std::vector<double>, std::greater<>> times(std::greater<>(), later_steps(hosts, from));
       std::size_t tries = 0;
       bool fitted = false;
-      for (double t : times) {
+      for (double t = from; t < kForever; t = next_after(times, t)) {
         // Looking further than the first slot is bounded.
         if (t >= best_runs || (fitted && (++tries > kMostTries || holds_full()))) break;
         auto some = fit_at(job, ordered, t, longest);
         if (some.empty()) continue;
         fitted = true;
-        double pull = 0;
-        for (const auto& [h, n] : some) pull = std::max(pull, pull_on(job, in_.hosts[h]));
-        if (t + pull >= best_runs) continue;
+        double slowest_pull = 0;
+        for (const auto& [h, n] : some) slowest_pull = std::max(slowest_pull, pull(job, h));
+        if (t + slowest_pull >= best_runs) continue;
         best = t;
-        best_runs = t + pull;
+        best_runs = t + slowest_pull;
         chosen = std::move(some);
       }
     }
@@ -333,6 +339,21 @@
     charge(job, job.units, best <= in_.now);
   }
 
+  // Starts of the profiles' steps behind `from`, in no order.
+  std::vector<double> later_steps(const std::vector<std::size_t>& hosts, double from) const {
+    std::vector<double> out;
+    for (auto h : hosts)
+      for (const auto& step : profiles_[h].steps())
+        if (step.at > from) out.push_back(step.at);
+    return out;
+  }
+  // The first of these times behind `t`, which is taken off them; kForever when there is none.
+  template <class Queue>
+  static double next_after(Queue& times, double t) {
+    while (!times.empty() && times.top() <= t) times.pop();
+    return times.empty() ? kForever : times.top();
+  }
+
   std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(
       PlanJob& job, const std::vector<std::pair<double, std::size_t>>& ordered, double t, double longest) {
     std::vector<std::pair<std::size_t, std::uint32_t>> out;
@@ -387,6 +408,7 @@
   const PlanInput& in_;
   std::vector<Profile> profiles_;
   std::vector<Resources> lent_;
+  std::vector<double> pull_seconds_;  // by host, of the job that is being placed
   std::vector<TeamRoom> teams_;
   std::vector<Resources> held_;
   std::map<Kin, std::vector<Resources>> hopeless_;
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -30,12 +30,20 @@
 using ImageIdx = Index<struct ImageTag>;
 using ClassIdx = Index<struct ClassTag>;
 
+// A map by name in which a name is looked up without a copy of it.
+struct NameHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view name) const noexcept { return std::hash<std::string_view>{}(name); }
+};
+template <class Value>
+using NameMap = std::unordered_map<std::string, Value, NameHash, std::equal_to<>>;
+
 // Maps names to dense indices at the door.
 template <class Idx>
 class Interner {
  public:
   Idx intern(std::string_view name) {
-    auto it = index_.find(std::string(name));
+    auto it = index_.find(name);
     if (it != index_.end()) return it->second;
     Idx idx{static_cast<std::uint32_t>(names_.size())};
     names_.emplace_back(name);
@@ -43,7 +51,7 @@
     return idx;
   }
   [[nodiscard]] Idx find(std::string_view name) const {
-    auto it = index_.find(std::string(name));
+    auto it = index_.find(name);
     return it == index_.end() ? Idx{} : it->second;
   }
   [[nodiscard]] const std::string& name(Idx idx) const { return names_[idx.v]; }
@@ -51,7 +59,7 @@
 
  private:
   std::vector<std::string> names_;
-  std::unordered_map<std::string, Idx> index_;
+  NameMap<Idx> index_;
 };
 
 struct Resources {
@@ -134,6 +142,9 @@
   std::uint64_t tenure = 0, serial = 0, epoch = 0;
   std::optional<double> recall_s;
   std::vector<ReportedPiece> pieces;
+  // Not on the wire: the serial of an earlier report of the same session that said the same of everything but its own serial,
+  // where the reader knows of one.
+  std::optional<std::uint64_t> repeats = {};
 };
 
 enum class Verb : std::uint8_t { run, kill, reap };
--- a/src/transport/acceptor.hpp
+++ b/src/transport/acceptor.hpp
@@ -1,13 +1,16 @@
 // Accepts connections and gives each its own thread. At the bound, the connection longest idle is closed, and of those that are
-// dear one only where there is no other.
+// dear one only where there is no other. Accepting and ending a connection costs the same however many are open.
 #pragma once
 #include <atomic>
 #include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "transport/socket.hpp"
 
@@ -25,6 +28,17 @@
 
    private:
     friend class Acceptor;
+    // Which connection goes first when there are too many: the smallest.
+    struct Standing {
+      bool dear = false;
+      double active = 0;  // steady seconds
+      auto operator<=>(const Standing&) const = default;
+    };
+    [[nodiscard]] Standing standing() const {
+      return {dear_.load(std::memory_order_relaxed), active_.load(std::memory_order_relaxed)};
+    }
+    Standing filed_under_;  // where it stands in by_standing_; used by the accept loop alone
+    std::list<std::unique_ptr<Connection>>::iterator place_;
     std::atomic<double> active_{0};
     std::atomic<bool> dear_{false};
     std::stop_source stop_;
@@ -45,15 +59,23 @@
   [[nodiscard]] std::size_t open();
 
  private:
+  using Filed = std::pair<Connection::Standing, Connection*>;
   void accept_loop(std::stop_token stop);
+  void run(Connection& connection);
+  // Removes connections whose threads have ended.
   void sweep();
+  // Closes the connection that goes first. Its thread ends by that; it is removed by a later sweep.
+  void close_one();
 
   Socket listener_;
   std::size_t most_;
   Routine routine_;
   std::mutex mutex_;
   std::list<std::unique_ptr<Connection>> connections_;
-  std::atomic<std::size_t> ended_{0};  // of them, those to be swept
+  std::set<Filed> by_standing_;  // open ones; each is filed anew only when it comes to be the first
+  std::mutex ended_mutex_;
+  std::vector<Connection*> ended_;  // to be swept
+  std::atomic<std::size_t> ended_count_{0};
   std::jthread thread_;
 };
 
--- a/src/transport/clock.hpp
+++ b/src/transport/clock.hpp
@@ -1,5 +1,7 @@
 // Clocks: steady seconds for leases and timeouts, wall seconds for what is written to the ledger.
 #pragma once
+#include <time.h>
+
 #include <chrono>
 
 namespace thistle {
@@ -11,4 +13,11 @@
   return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+// Processor seconds that the calling thread has used; 0 where the system does not tell.
+inline double thread_processor_seconds() {
+  timespec used{};
+  if (::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used) != 0) return 0;
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
 }  // namespace thistle
--- a/src/transport/frames.cpp
+++ b/src/transport/frames.cpp
@@ -9,22 +9,34 @@
 
 namespace {
 constexpr double kConnectTimeout = 0.5;  // between controllers; a silent one refuses nothing
+constexpr std::size_t kHeaderBytes = 6;
+constexpr std::uint32_t kLengthCounts = 2;     // of the header: version and kind
+constexpr std::size_t kFirstRead = 2048;
 }
 
+// Header and payload mostly come by one system call: a frame is asked for or answered before the next one is sent, so nothing
+// stands behind it.
 bool read_frame(Stream& stream, Frame& out, ErrorCode& ec) {
-  char header[6];
-  if (!stream.read_exact(header, sizeof header, ec)) return false;
-  Unpacker in(std::string_view(header, sizeof header));
+  char first[kFirstRead];
+  std::size_t got = 0;
+  while (got < kHeaderBytes) {
+    got += stream.read_some(boost::asio::buffer(first + got, sizeof first - got), ec);
+    if (ec) return false;
+  }
+  Unpacker in(std::string_view(first, kHeaderBytes));
   const auto length = in.integer<std::uint32_t>();
   const auto version = in.integer<std::uint8_t>();
   const auto kind = in.integer<std::uint8_t>();
-  if (version != kFrameVersion || length < 2 || length > kMaxFrame) {
+  const std::size_t payload = length < kLengthCounts ? 0 : length - kLengthCounts;
+  const std::size_t here = got - kHeaderBytes;
+  if (version != kFrameVersion || length < kLengthCounts || length > kMaxFrame || here > payload) {
     ec = boost::asio::error::invalid_argument;
     return false;
   }
   out.kind = kind;
-  out.payload.resize(length - 2);
-  return stream.read_exact(out.payload.data(), out.payload.size(), ec);
+  out.payload.resize(payload);
+  std::copy_n(first + kHeaderBytes, here, out.payload.begin());
+  return stream.read_exact(out.payload.data() + here, payload - here, ec);
 }
 
 bool write_frame(Stream& stream, const Frame& frame, ErrorCode& ec) {
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -25,6 +25,7 @@
 void HttpServer::serve(Acceptor::Connection& connection, std::stop_token stop) const {
   beast::flat_buffer buffer;
   buffer.reserve(kReadBuffer);
+  std::any session;
   while (!stop.stop_requested()) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxBody);
@@ -46,7 +47,7 @@
       keep = request.keep_alive();
       const auto method = request.method_string();
       const auto target = request.target();
-      reply = handler_({{method.data(), method.size()}, {target.data(), target.size()}, request.body()});
+      reply = handler_({{method.data(), method.size()}, {target.data(), target.size()}, request.body(), session});
       connection.dear(reply.dear);
     }
     http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -1,5 +1,6 @@
 // HTTP/1.1 over blocking sockets, with Boost.Beast's parser and serializer.
 #pragma once
+#include <any>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -16,6 +17,7 @@
   std::string_view method;
   std::string_view target;
   std::string_view body;
+  std::any& session;  // whatever the handler keeps from one call of a connection to the next; empty at first
 };
 
 struct HttpReply {
--- /dev/null
+++ b/tests/pass_pacing_test.cpp
@@ -0,0 +1,35 @@
+// Planning leaves most of the processor to requests and lease renewals.
+#include "planning/pass_pacing.hpp"
+
+#include <gtest/gtest.h>
+
+namespace thistle {
+namespace {
+
+TEST(PassPacing, RestsForThePassPeriodWhereAPassCostsNothing) {
+  EXPECT_DOUBLE_EQ(rest_after_pass({0, 0}, {0.1, 0.038}), 0.1);
+}
+
+TEST(PassPacing, RestsForFourTimesAsLongAsThePassTook) {
+  EXPECT_DOUBLE_EQ(rest_after_pass({0.05, 0}, {0.1, 1}), 0.2);
+}
+
+// Lienzo lean: passes of 3 ms ten times a second took 0.8 of a share of 3.8% of a core, and renewals came late.
+TEST(PassPacing, TakesNoMoreThanAQuarterOfTheProcessorShare) {
+  const double processor_s = 0.003, share = 0.038;
+  const double rest = rest_after_pass({0, processor_s}, {0.1, share});
+  EXPECT_NEAR(processor_s / rest, share / 4, 1e-12);
+}
+
+TEST(PassPacing, GoesOnWithinASecondUnderAnyLoad) {
+  EXPECT_DOUBLE_EQ(rest_after_pass({9, 9}, {0.1, 0.001}), kLongestPassRest);
+  EXPECT_DOUBLE_EQ(rest_after_pass({9, 9}, {30, 0.001}), 30) << "the operator's own period is kept";
+}
+
+TEST(PassPacing, TakesAnUnknownShareAsAWholeCore) {
+  EXPECT_DOUBLE_EQ(rest_after_pass({0, 0.05}, {0.1, 0}), rest_after_pass({0, 0.05}, {0.1, 1}));
+  EXPECT_DOUBLE_EQ(rest_after_pass({0, 0.05}, {0.1, 8}), rest_after_pass({0, 0.05}, {0.1, 1}));
+}
+
+}  // namespace
+}  // namespace thistle
--- a/tests/threads_test.cpp
+++ b/tests/threads_test.cpp
@@ -58,6 +58,42 @@
   let_go();
 }
 
+// At the bound the connection longest idle makes room, a dear one only where there is no other; the rest go on.
+TEST(Threads, AtTheBoundTheLongestIdleConnectionMakesRoom) {
+  constexpr std::size_t kMost = 4;
+  const auto address = testing_::free_address();
+  HttpServer server(address, kMost, [](const HttpCall& call) -> HttpReply {
+    HttpReply reply{200, "{}"};
+    reply.dear = call.target == "/dear";
+    return reply;
+  });
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  const auto connect = [&](const char* target) {
+    clients.push_back(std::make_unique<HttpClient>(address));
+    ASSERT_TRUE(clients.back()->post(target, "{}", 2).is(200));
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  };
+  // A kept connection that was closed fails a POST, which is not sent anew.
+  const auto alive = [&](std::size_t i) { return clients[i]->post("/", "{}", 2).is(200); };
+  connect("/dear");
+  connect("/");
+  connect("/");
+  connect("/");
+  ASSERT_TRUE(clients[1]->post("/", "{}", 2).is(200)) << "active again: number 2 is the longest idle now";
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  connect("/");
+  EXPECT_FALSE(alive(2));
+  EXPECT_TRUE(alive(3));
+  EXPECT_TRUE(alive(1));
+  EXPECT_TRUE(alive(4));
+  EXPECT_TRUE(alive(0));
+  EXPECT_EQ(server.connections(), kMost);
+  // Hundreds come and go; what is open stays countable.
+  for (int i = 0; i < 300; ++i) connect("/");
+  for (int i = 0; i < 200 && server.connections() > kMost; ++i) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_LE(server.connections(), kMost);
+}
+
 TEST(Threads, WorkIsWaitedForAndNotItsThreads) {
   lingers = true;
   std::atomic<int> done{0};
