--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -1,9 +1,5 @@
 #include "rig/cluster.hpp"
 
-#include <fcntl.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -41,7 +37,7 @@
     for (std::size_t k = 0; k < n; ++k)
       if (i != k) relays_[{i, k}] = std::make_unique<Relay>(peers_[k]);
   for (std::size_t i = 0; i < n; ++i) configure(i, kLimits);
-  processes_.resize(n, 0);
+  processes_.resize(n);
   for (std::size_t i = 0; i < options.workers; ++i)
     workers.push_back(std::make_unique<Worker>("m-" + std::to_string(100000 + i), kZones[i % 2], addresses_,
                                                checker, times_,
@@ -85,38 +81,15 @@
 }
 
 void Cluster::start(std::size_t i, const std::string& program, const std::vector<std::string>& flags) {
-  end(i);
-  std::vector<std::string> words{program};
-  words.insert(words.end(), flags.begin(), flags.end());
-  words.insert(words.end(), {"--config", configs_[i]});
-  std::vector<char*> argv;
-  for (auto& w : words) argv.push_back(w.data());
-  argv.push_back(nullptr);
-  const auto log =
-      options_.logs.empty() ? "/dev/null" : options_.logs + "/host-" + std::to_string(i) + ".log";
-  const pid_t pid = fork();
-  if (pid == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(fd, 2);
-    // Sockets of the stand-in cluster are not the process's.
-    ::close_range(3, ~0U, 0);
-    ::execv(program.c_str(), argv.data());
-    ::_exit(127);
-  }
-  processes_[i] = pid;
+  std::vector<std::string> arguments = flags;
+  arguments.insert(arguments.end(), {"--config", configs_[i]});
+  const auto log = options_.logs.empty() ? "/dev/null" : options_.logs + "/host-" + std::to_string(i) + ".log";
+  processes_[i].start(program, arguments, log);
 }
 
-void Cluster::end(std::size_t i) {
-  if (processes_[i] <= 0) return;
-  ::kill(processes_[i], SIGKILL);
-  ::waitpid(processes_[i], nullptr, 0);
-  processes_[i] = 0;
-}
+void Cluster::end(std::size_t i) { processes_[i].end(); }
 
-void Cluster::freeze(std::size_t i, bool frozen) {
-  if (processes_[i] > 0) ::kill(processes_[i], frozen ? SIGSTOP : SIGCONT);
-}
+void Cluster::freeze(std::size_t i, bool frozen) { processes_[i].freeze(frozen); }
 
 void Cluster::part(std::size_t i, bool parted, bool state_too) {
   for (auto& [way, relay] : relays_)
--- a/rig/cluster.hpp
+++ b/rig/cluster.hpp
@@ -1,8 +1,6 @@
 // A stand-in cluster on loopback around real controller processes: state service, cloud, workers, users. Time
 // is real.
 #pragma once
-#include <sys/types.h>
-
 #include <atomic>
 #include <list>
 #include <map>
@@ -13,6 +11,7 @@
 #include <vector>
 
 #include "rig/checker.hpp"
+#include "rig/controller_process.hpp"
 #include "rig/relay.hpp"
 #include "rig/state_service.hpp"
 #include "rig/worker.hpp"
@@ -65,7 +64,7 @@
   Times times_;
   std::vector<std::string> addresses_, peers_, configs_;
   std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<Relay>> relays_;  // from, to
-  std::vector<pid_t> processes_;
+  std::vector<ControllerProcess> processes_;
   std::string directory_, cloud_address_;
   std::unique_ptr<HttpServer> cloud_;
   std::jthread ticker_;
--- /dev/null
+++ b/rig/controller_process.hpp
@@ -0,0 +1,31 @@
+// One real controller process that the rig starts, freezes and ends.
+#pragma once
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace thistle::rig {
+
+class ControllerProcess {
+ public:
+  ControllerProcess() = default;
+  ~ControllerProcess() { end(); }
+  ControllerProcess(ControllerProcess&& other) noexcept;
+  ControllerProcess& operator=(ControllerProcess&& other) noexcept;
+  ControllerProcess(const ControllerProcess&) = delete;
+  ControllerProcess& operator=(const ControllerProcess&) = delete;
+
+  // Starts `program` with `arguments`, in place of the one that runs; its standard error goes to the end of `log`.
+  void start(const std::string& program, const std::vector<std::string>& arguments, const std::string& log);
+  // Ends it without a signal that it could heed, and waits until it is gone.
+  void end();
+  void freeze(bool frozen) const;
+  // 0: none runs.
+  [[nodiscard]] pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = 0;
+};
+
+}  // namespace thistle::rig
--- /dev/null
+++ b/rig/scale/process_usage.hpp
@@ -0,0 +1,18 @@
+// What the system says of one process: processor time, memory, threads, sockets.
+#pragma once
+#include <sys/types.h>
+
+#include <cstddef>
+
+namespace thistle::rig {
+
+struct ProcessUsage {
+  double processor_s = 0;  // user and system
+  double memory_mb = 0;    // resident
+  std::size_t threads = 0, sockets = 0;
+};
+
+// All zero where there is no such process.
+ProcessUsage usage_of(pid_t pid);
+
+}  // namespace thistle::rig
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -92,6 +92,7 @@
   double deaf_since = 0;         // steady seconds: since then answers do not reach it; 0: they do (fleet/deafness)
   std::uint64_t deaf_epoch = 0;  // highest token that it had seen then
   double direct_at = 0;          // steady seconds: heard by this controller itself, not by way of another
+  bool commands_fail = false;    // the latest direct command got no answer
   double answered_at = 0;        // steady seconds: the latest report of it that this leader answered
   // Steady seconds: when it, in its present tenure, was first known to have seen this leader's epoch.
   double fenced_at = 0;
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -236,7 +236,9 @@
         Lock lock(mutex_);
         if (role_ != Role::leading || report.host != p.name) return;
         absorb(report, false);
-        term_->book->host(term_->book->host_named(p.name)).direct_at = steady_now();
+        Host& host = term_->book->host(term_->book->host_named(p.name));
+        host.direct_at = steady_now();
+        host.commands_fail = false;
       } catch (const Malformed& e) {
         spdlog::error("{}: malformed status: {}", p.name, e.what());
       }
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -43,7 +43,13 @@
       lines_(budget_.lines),
       began_(steady_now()),
       custody_(custody_span(settings_.cancel_s, settings_.lease_s), began_),
-      served_(named_classes(settings_)) {
+      served_(named_classes(settings_)),
+      intake_(settings_.label, [this]() -> std::optional<IntakeSender::Lead> {
+        Lock lock(mutex_);
+        FramePool* pool = role_ == Role::follower ? leader_pool() : nullptr;
+        if (!pool) return std::nullopt;
+        return IntakeSender::Lead{pool, leads_known_, known_takeover_};
+      }) {
   follower_since_ = began_;
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
@@ -67,6 +73,7 @@
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { cloud_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { rollout_duty(st); });
+  if (tuning_.intake) duties_.emplace_back([this](std::stop_token st) { intake_.run(st); });
   for (std::size_t i = 0; i < links_.size(); ++i)
     duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
   duties_.emplace_back([this](std::stop_token st) { leadership_duty(st); });
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -19,6 +19,7 @@
 #include "coordination/budget.hpp"
 #include "coordination/counters.hpp"
 #include "coordination/histograms.hpp"
+#include "coordination/intake_sender.hpp"
 #include "coordination/peer_link.hpp"
 #include "coordination/standing_back.hpp"
 #include "coordination/start_watch.hpp"
@@ -87,6 +88,7 @@
     std::uint64_t teams_ticket = 0;    // of the terms of teams last sent on their way into the ledger
     std::set<JobIdx> within;           // their teams' guarantees, as the last pass saw it
     Floor floor;                       // by the numbers of this term's book
+    ReportReceiver intake_reports;     // that other controllers passed on
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
@@ -118,7 +120,22 @@
   HttpReply forward(Lock& lock, const UserRoute& route, const HttpCall& call);
   // A report as it came: `memo` is of the worker's own connection, or null for one that a peer passed on.
   HttpReply on_report(std::string_view body, ReportMemo* memo);
+  // By which way a report came to the leader.
+  enum class ReportWay {
+    direct,     // on the worker's own connection
+    forwarded,  // by a peer, for a worker that can't reach the leader
+    intake,     // in a batch, of a worker that stays with a peer
+  };
+  // What a controller that has taken the lead answers. It may step down by what the report says; then it is refused.
+  WorkerAnswer answer_report(Lock& lock, const Report& report, ReportWay way);
+  HttpReply report_to_leader(Lock& lock, const Report& report, ReportWay way);
+  HttpReply report_to_follower(Lock& lock, const Report& report, std::string_view body, bool forwarded);
+  // A follower passes it on in a batch; nothing where the leader takes none.
+  std::optional<HttpReply> report_by_intake(Lock& lock, const Report& report);
+  Frame on_intake_batch(const Frame& frame);
   HttpReply health();
+  // What a peer is told that asks whether this leader takes batches of reports.
+  HttpReply takes_batches();
   HttpReply metrics();
 
   // ---- leadership (leadership.cpp)
@@ -334,6 +351,7 @@
   Served served_;
   double served_looked_at_ = 0;  // steady seconds
 
+  IntakeSender intake_;
   std::unique_ptr<FrameServer> frame_server_;
   std::unique_ptr<HttpServer> http_server_;
   std::vector<std::jthread> duties_;
--- /dev/null
+++ b/src/coordination/intake_sender.hpp
@@ -0,0 +1,98 @@
+// The duty of an intake: passes its workers' reports to the leader in batches, and gives each connection's routine its answer.
+// One batch is on its way at a time, so a busy leader gets fewer and larger ones.
+#pragma once
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <unordered_map>
+
+#include "intake/report_exchange.hpp"
+#include "protocol/intake_messages.hpp"
+#include "transport/frames.hpp"
+
+namespace thistle {
+
+class IntakeSender {
+ public:
+  // The lead that reports go to. `number` grows with each lead that this controller learns of.
+  struct Lead {
+    FramePool* pool = nullptr;
+    std::uint64_t number = 0, takeover = 0;
+  };
+  // Asked without any lock of the sender's; nothing where no other controller is known to lead.
+  using LeadNow = std::function<std::optional<Lead>()>;
+
+  // What became of a report.
+  struct Passed {
+    enum class Outcome {
+      answered,      // by the leader: see `answer`
+      not_answered,  // in time
+      not_taken,     // the leader takes no batches
+    };
+    Outcome outcome = Outcome::not_answered;
+    WorkerAnswer answer;
+    std::uint64_t epoch = 0;        // of the answer
+    std::uint64_t lead_number = 0;  // of the lead that made it
+  };
+
+  IntakeSender(std::string label, LeadNow lead_now) : label_(std::move(label)), lead_now_(std::move(lead_now)) {}
+
+  // Waits until the leader has answered, at most this long.
+  Passed pass_on(const Report& report, double timeout_s);
+  // This controller leads now: what waits is answered here.
+  void release_all();
+  // Sends batches until asked to stop.
+  void run(std::stop_token stop);
+
+  // Reports that wait now, and for how many seconds the one that has waited longest.
+  struct Backlog {
+    std::size_t reports = 0;
+    double oldest_s = 0;
+  };
+  [[nodiscard]] Backlog backlog() const;
+  // Whether the worker of a connection should now be told to report elsewhere, and where: this intake has more than its share.
+  std::optional<std::string> send_away();
+
+ private:
+  struct Waiting {
+    const Report* report = nullptr;  // of the routine that waits
+    double since = 0, until = 0;     // steady seconds
+    bool in_batch = false, done = false;
+    Passed passed;
+    std::condition_variable changed;  // done, or no longer in a batch
+  };
+  enum class Taken { unknown, yes, no };  // whether the leader takes batches
+
+  void find_lead();
+  void ask_whether_taken(const Lead& lead);
+  void send_batch(const Lead& lead);
+  std::vector<Waiting*> take_batch(IntakeBatch& batch, const Lead& lead);
+  void take_answer(const std::vector<Waiting*>& sent, const IntakeAnswer& answer, const Lead& lead);
+  void finish(Waiting& waiting, Passed::Outcome outcome);
+  // It goes into a later batch, if its time is not over.
+  void put_back(Waiting& waiting);
+  void refuse_all();
+  std::uint32_t count_workers(double now);
+
+  const std::string label_;
+  const LeadNow lead_now_;
+  mutable std::mutex mutex_;
+  std::condition_variable_any filled_;
+  std::deque<Waiting*> waiting_;
+  std::optional<Lead> lead_;
+  Taken taken_ = Taken::unknown;
+  double asked_at_ = 0;       // steady seconds: whether the leader takes batches
+  ReportSender reports_;
+  NameMap<double> heard_at_;  // by worker, steady seconds
+  double counted_at_ = 0;
+  std::uint32_t workers_ = 0;  // heard of lately
+  std::uint32_t send_away_ = 0;
+  std::string send_to_;
+};
+
+}  // namespace thistle
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -144,6 +144,7 @@
   ++term_number_;
   role_ = Role::recovering;
   learn(epoch, settings_.label);
+  intake_.release_all();
   spdlog::info("takes over as leader, epoch {}", epoch);
   role_changed_.notify_all();
   return true;
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -75,11 +75,13 @@
     return pack(BeatAck{known_epoch_, known_leader_, incarnation_, static_cast<std::uint64_t>(now * 1000),
                         static_cast<std::uint32_t>(std::max(0.0, now - custody_.last_kept()) * 1000)});
   }
+  if (frame.kind == static_cast<std::uint8_t>(PeerKind::intake_batch)) return on_intake_batch(frame);
   if (const auto call = unpack_call(frame)) {
     // What an answer has left is counted from here, by the one that asked from before it did: so it is never more than it was, and
     // what the ledger took is not taken off it.
     const double received = steady_now();
     if (call->target == kAbleTarget) return pack(HttpReply{200, pack(able_)}, steady_now());
+    if (call->target == kIntakeTarget) return pack(takes_batches(), received);
     if (call->target == kTeamsTarget) return pack(HttpReply{200, pack(teams_file_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
     const auto reply =
@@ -90,6 +92,12 @@
   return pack(error_reply(400, "malformed frame"), steady_now());
 }
 
+HttpReply Controller::takes_batches() {
+  Lock lock(mutex_);
+  if (role_ == Role::follower) return error_reply(503, kUnavailable, kRetryAfter);
+  return tuning_.intake ? HttpReply{200, "{}"} : error_reply(404, "batches of reports are switched off");
+}
+
 HttpReply Controller::on_user(const UserRoute& route, std::string_view body) {
   Lock lock(mutex_);
   if (role_ != Role::leading) {
@@ -294,88 +302,157 @@
   const Report& report = *read;
   if (report.repeats) ++counters_.repeated_reports;
   Lock lock(mutex_);
-  double now = steady_now();
-  if (role_ != Role::follower && report.epoch > term_->epoch) {
+  if (role_ == Role::follower) return report_to_follower(lock, report, body, forwarded);
+  return report_to_leader(lock, report, forwarded ? ReportWay::forwarded : ReportWay::direct);
+}
+
+HttpReply Controller::report_to_follower(Lock& lock, const Report& report, std::string_view body, bool forwarded) {
+  const double now = steady_now();
+  if (forwarded || known_leader_.empty() || known_leader_ == settings_.label) return {421, steward_body("")};
+  // Parted from the leader by a cut, as this worker is: all it can do for it is to keep its lease (lienzo fleet, zone: the
+  // leases of some 400 machines lapsed in a cut of 47 s).
+  const auto keep = [&]() -> std::optional<HttpReply> {
+    const double at = steady_now();
+    if (!keeps(report, at)) return std::nullopt;
+    custody_.kept(at);
+    ++counters_.kept;
+    return HttpReply{200, orders_body(custody_.epoch(), {})};
+  };
+  if (tuning_.intake) {
+    if (auto reply = keep()) return *reply;
+    if (auto reply = report_by_intake(lock, report)) {
+      if (reply->status == 200 || role_ != Role::follower) return *reply;
+      // The leader fell silent meanwhile.
+      const auto kept = keep();
+      return kept ? *kept : *reply;
+    }
+    if (role_ != Role::follower) return report_to_leader(lock, report, ReportWay::direct);
+  }
+  // A worker that has seen an epoch of the present leader's was with it and left it, or comes back soon after it was
+  // sent there: it can't reach the leader. Sent back once more, it would wait there for its time limit again, and
+  // its lease could run out on the way.
+  auto& bounce = bounces_[report.host];
+  // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
+  const bool was_there = report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
+  const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
+  if (now >= bounce.forward_until) {
+    if (!left_leader || bounce.forward_until > 0) {
+      bounce = {now, 0};
+      return {421, steward_body(known_leader_)};
+    }
+    bounce = {-1e9, now + kForwardWindow};
+  }
+  if (auto reply = keep()) return *reply;
+  FramePool* pool = leader_pool();
+  const std::string steward = known_leader_;
+  lock.unlock();
+  if (pool) {
+    const auto answer = pool->ask(pack(PeerCall{"POST", "/v1/report", std::string(body)}), kReportTimeout);
+    auto reply = answer ? unpack_reply(*answer, now) : std::nullopt;
+    lock.lock();
+    // Not if a later leader was confirmed meanwhile: nothing is answered under an older epoch from then on.
+    if (reply && reply->status == 200 && known_leader_ == steward) return *reply;
+  }
+  return {421, steward_body("")};
+}
+
+std::optional<HttpReply> Controller::report_by_intake(Lock& lock, const Report& report) {
+  lock.unlock();
+  const auto passed = intake_.pass_on(report, kReportTimeout);
+  lock.lock();
+  using Outcome = IntakeSender::Passed::Outcome;
+  if (passed.outcome == Outcome::not_taken) return std::nullopt;
+  // Under the lead that made it alone: from when a later one is confirmed nothing is answered under an older epoch.
+  const bool stands = passed.outcome == Outcome::answered && role_ == Role::follower && passed.lead_number == leads_known_;
+  if (!stands || passed.answer.outcome != WorkerAnswer::Outcome::renewed) return HttpReply{421, steward_body("")};
+  ++counters_.passed_on;
+  HttpReply reply{200, orders_body(passed.epoch, passed.answer.orders)};
+  reply.dear = !report.pieces.empty();
+  return reply;
+}
+
+HttpReply Controller::report_to_leader(Lock& lock, const Report& report, ReportWay way) {
+  if (!term_->book && way == ReportWay::direct && unread_since_ == 0) await_ledger(lock);
+  if (role_ == Role::follower) return {421, steward_body("")};
+  const auto answer = answer_report(lock, report, way);
+  if (answer.outcome != WorkerAnswer::Outcome::renewed) return {421, steward_body("")};
+  HttpReply reply{200, orders_body(term_->epoch, answer.orders)};
+  reply.dear = !report.pieces.empty();
+  return reply;
+}
+
+WorkerAnswer Controller::answer_report(Lock& lock, const Report& report, ReportWay way) {
+  const WorkerAnswer refused{WorkerAnswer::Outcome::refused, {}};
+  const bool by_peer = way != ReportWay::direct;
+  if (report.epoch > term_->epoch) {
     // The worker has seen a later leader.
     step_down(lock, "a worker knows of a higher epoch");
     known_epoch_ = report.epoch;
     known_leader_.clear();
+    return refused;
   }
-  if (role_ == Role::follower) {
-    if (forwarded || known_leader_.empty() || known_leader_ == settings_.label)
-      return {421, steward_body("")};
-    // A worker that has seen an epoch of the present leader's was with it and left it, or comes back soon after it was
-    // sent there: it can't reach the leader. Sent back once more, it would wait there for its time limit again, and
-    // its lease could run out on the way.
-    auto& bounce = bounces_[report.host];
-    // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
-    const bool was_there = report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
-    const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
-    if (now >= bounce.forward_until) {
-      if (!left_leader || bounce.forward_until > 0) {
-        bounce = {now, 0};
-        return {421, steward_body(known_leader_)};
-      }
-      bounce = {-1e9, now + kForwardWindow};
-    }
-    // Parted from the leader by a cut, as this worker is: all it can do for it is to keep its lease (lienzo fleet, zone: the
-    // leases of some 400 machines lapsed in a cut of 47 s).
-    if (keeps(report, now)) {
-      custody_.kept(now);
-      ++counters_.kept;
-      return {200, orders_body(custody_.epoch(), {})};
-    }
-    FramePool* pool = leader_pool();
-    const std::string steward = known_leader_;
-    lock.unlock();
-    if (pool) {
-      const auto answer = pool->ask(pack(PeerCall{"POST", "/v1/report", std::string(body)}), kReportTimeout);
-      auto reply = answer ? unpack_reply(*answer, now) : std::nullopt;
-      lock.lock();
-      // Not if a later leader was confirmed meanwhile: nothing is answered under an older epoch from then on.
-      if (reply && reply->status == 200 && known_leader_ == steward) return *reply;
-    }
-    return {421, steward_body("")};
-  }
-  if (!term_->book && !forwarded && unread_since_ == 0) {
-    await_ledger(lock);
-    if (role_ == Role::follower) return {421, steward_body("")};
-    now = steady_now();
-  }
+  const double now = steady_now();
   // Without the ledger for long, it answers workers without tasks for so long only.
   const double span = custody_span(settings_.cancel_s, settings_.lease_s);
-  if (!term_->book && unread_since_ != 0 && now - unread_since_ > span) return {421, steward_body("")};
+  if (!term_->book && unread_since_ != 0 && now - unread_since_ > span) return refused;
   const Standing stands = standing(report, now);
   const auto answer = renewal(stands, !report.pieces.empty());
-  if (answer == Renewal::none || (forwarded && !stands.certain && !stands.backed)) return {421, steward_body("")};
+  if (answer == Renewal::none || (by_peer && !stands.certain && !stands.backed)) return refused;
   if (!stands.certain && !stands.backed) {
     custody_.kept(now);
     ++counters_.kept;
   }
-  std::vector<Order> orders;
   ++counters_.reports;
-  if (term_->book) {
-    Book& book = *term_->book;
-    const bool stale = !absorb(report, true);
-    const HostIdx h = book.host_named(report.host);
-    Host& host = book.host(h);
-    if (late_start_of_cancelled(book, host, now, span)) return {421, steward_body("")};
-    note_answer(host, stale, now);
-    if (!forwarded && !stale) host.direct_at = now;
-    const bool newest = host.tenure == report.tenure && host.serial == report.serial;
-    // Each answer that renews a lease carries the kills of what is cancelled, also one to a report that another overtook.
-    orders = newest ? due_orders(h) : kills_of_cancelled(book, h);
-    note_orders(host, report.serial, orders);
-    if (!decisive()) {
-      ++counters_.answered_in_doubt;
-      counters_.kills_in_doubt += orders.size();
-    }
-  } else {
+  WorkerAnswer out{WorkerAnswer::Outcome::renewed, {}};
+  if (!term_->book) {
     early_answers_[report.host] = now;
+    return out;
   }
-  HttpReply reply{200, orders_body(term_->epoch, orders)};
-  reply.dear = !report.pieces.empty();
-  return reply;
+  Book& book = *term_->book;
+  const bool stale = !absorb(report, true);
+  const HostIdx h = book.host_named(report.host);
+  Host& host = book.host(h);
+  if (late_start_of_cancelled(book, host, now, span)) return refused;
+  note_answer(host, stale, now);
+  // A worker that stays with a peer has not tried to reach this controller: what is known is whether commands reach it.
+  const bool reaches = way == ReportWay::direct || (way == ReportWay::intake && !host.commands_fail);
+  if (reaches && !stale) host.direct_at = now;
+  const bool newest = host.tenure == report.tenure && host.serial == report.serial;
+  // Each answer that renews a lease carries the kills of what is cancelled, also one to a report that another overtook.
+  out.orders = newest ? due_orders(h) : kills_of_cancelled(book, h);
+  note_orders(host, report.serial, out.orders);
+  if (!decisive()) {
+    ++counters_.answered_in_doubt;
+    counters_.kills_in_doubt += out.orders.size();
+  }
+  return out;
+}
+
+Frame Controller::on_intake_batch(const Frame& frame) {
+  const auto batch = unpack_intake_batch(frame);
+  if (!batch) {
+    spdlog::error("malformed batch of reports from a peer, {} bytes", frame.payload.size());
+    return pack(error_reply(400, "malformed batch"), steady_now());
+  }
+  Lock lock(mutex_);
+  IntakeAnswer out;
+  // Of another lead, or of none: its sender looks again who leads.
+  if (!tuning_.intake || role_ == Role::follower || batch->takeover != term_->takeover_epoch) return pack(out);
+  out.takeover = batch->takeover;
+  out.epoch = term_->epoch;
+  const bool reads_ledger = !term_->book && unread_since_ == 0;
+  for (const ReportDelta& delta : batch->reports) {
+    if (role_ == Role::follower) {
+      out.answers.push_back({WorkerAnswer::Outcome::refused, {}});
+    } else if (reads_ledger) {
+      out.answers.push_back({WorkerAnswer::Outcome::not_now, {}});
+    } else if (const Report* report = term_->intake_reports.receive(delta)) {
+      out.answers.push_back(answer_report(lock, *report, ReportWay::intake));
+    } else {
+      out.answers.push_back({WorkerAnswer::Outcome::whole_wanted, {}});
+    }
+  }
+  return pack(out);
 }
 
 void Controller::await_ledger(Lock& lock) {
@@ -422,6 +499,10 @@
   line("start_stalled_seconds", start_watch_.stalled(steady_now()));
   line("reports_total", counters_.reports.load());
   line("reports_repeated_total", counters_.repeated_reports.load());
+  line("reports_passed_on_total", counters_.passed_on.load());
+  const auto backlog = intake_.backlog();
+  line("intake_waiting", backlog.reports);
+  line("intake_oldest_seconds", backlog.oldest_s);
   line("suspected_jobs_total", counters_.suspected.load());
   line("machines_set_aside_total", counters_.set_aside.load());
   line("machines_deaf_total", counters_.deaf.load());
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -153,6 +153,7 @@
     want_pass();
     spdlog::debug("{}: a start is in doubt", again.name);
   }
+  again.commands_fail = !understood;
   if (!understood) {
     due_.failed(h, steady_now() + kPauseAfterFailure);
     return;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,6 +41,8 @@
       ->envname("THISTLEFRONT_STATE_LEVEL_SOAK")->check(CLI::Range(0.0, 604800.0))->capture_default_str();
   app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
       ->envname("THISTLEFRONT_RENT")->capture_default_str();
+  app.add_option("--intake", tuning.intake, "workers stay with any controller, which passes their reports to the leader in batches")
+      ->envname("THISTLEFRONT_INTAKE")->capture_default_str();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -14,8 +14,13 @@
   beat_ack,    // peer -> leader: the highest epoch it knows; it answers no worker under a lower one
   call,        // a user's request or a worker's report, forwarded to the leader
   reply,
+  intake_batch,   // intake -> leader: workers' reports (protocol/intake_messages)
+  intake_answer,
 };
 
+// Asked of a leader: whether it takes batches of reports. Older builds answer 404.
+inline constexpr const char* kIntakeTarget = "/intake";
+
 struct Beat {
   std::string label;
   std::uint64_t epoch = 0, takeover = 0;  // now, and when it took over
