Report intake: workers spread evenly, a leader out of reach is left to its workers

Workers that were moved once stayed together. Change: an intake whose leader does not answer it for 2.2 s, while it still leads, redirects as without intake; the leader spreads workers, a few a second (WorkerBalance); an intake announces itself each second.

--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -25,6 +25,7 @@
   unsigned level = 4;  // that the newer build has
   double restart_after = 1;  // seconds at most
   double soak = 0;           // seconds; 0: the build's own
+  std::string intake = "off";  // report intake: on, off, or drawn by each start of a controller
   bool back = false, verbose = false;
 };
 
@@ -51,6 +52,7 @@
     is_new[i] = newer;
     std::vector<std::string> flags;
     if (newer && plan.soak > 0) flags = {"--state-level-soak", std::to_string(plan.soak)};
+    if (newer && (plan.intake == "on" || (plan.intake == "drawn" && random() % 2))) flags.insert(flags.end(), {"--intake", "true"});
     flags.insert(flags.end(), more.begin(), more.end());
     cluster.start(i, newer ? plan.newer : plan.older, flags);
   }
@@ -430,6 +432,9 @@
     sub->add_option("--logs", plan.cluster.logs, "directory for what the controllers write")
         ->check(CLI::ExistingDirectory);
     sub->add_option("--soak", plan.soak, "seconds that a level is waited with; 0: as the build does")->capture_default_str();
+    sub->add_option("--intake", plan.intake, "report intake on the newer build")
+        ->check(CLI::IsMember({"on", "off", "drawn"}))
+        ->capture_default_str();
     sub->add_flag("--verbose", plan.verbose, "tells each event");
   };
   auto* rollout =
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -30,6 +30,7 @@
 #include "fleet/dealings.hpp"
 #include "fleet/due_workers.hpp"
 #include "fleet/renewal.hpp"
+#include "intake/worker_balance.hpp"
 #include "ledger/reader.hpp"
 #include "ledger/tail.hpp"
 #include "ledger/write_budget.hpp"
@@ -89,6 +90,9 @@
     std::set<JobIdx> within;           // their teams' guarantees, as the last pass saw it
     Floor floor;                       // by the numbers of this term's book
     ReportReceiver intake_reports;     // that other controllers passed on
+    WorkerBalance balance;             // of workers over the controllers
+    std::size_t own_workers = 0;       // that report to this controller itself, as counted last
+    double own_workers_at = 0;         // steady seconds
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
@@ -128,6 +132,7 @@
   };
   // What a controller that has taken the lead answers. It may step down by what the report says; then it is refused.
   WorkerAnswer answer_report(Lock& lock, const Report& report, ReportWay way);
+  std::size_t own_workers(double now);
   HttpReply report_to_leader(Lock& lock, const Report& report, ReportWay way);
   HttpReply report_to_follower(Lock& lock, const Report& report, std::string_view body, bool forwarded);
   // A follower passes it on in a batch; nothing where the leader takes none.
--- a/src/coordination/intake_sender.cpp
+++ b/src/coordination/intake_sender.cpp
@@ -14,7 +14,11 @@
 namespace {
 constexpr double kBatchPeriod = 0.05;        // seconds from one batch to the next, at least
 constexpr double kBatchTimeout = 1.2;        // seconds for an answer
-constexpr double kAskAgain = 5.0;            // seconds: a leader that takes no batches may begin to
+constexpr double kAskAgain = 2.0;            // seconds: a leader that took no batches may begin to
+constexpr double kAnnounce = 1.0;            // seconds: an intake without reports tells the leader that it is there
+// Seconds. A leader that ended is succeeded sooner; one that can't be reached from here for longer, and still leads, is perhaps
+// reached by the workers themselves (controllers that refuse each other: replicas were missed for half a minute).
+constexpr double kLinkPatience = 2.2;
 constexpr double kAfterFailure = 0.1;        // seconds
 constexpr double kNoLead = 0.05;             // seconds until it is looked again who leads
 constexpr std::size_t kMostBytes = 256 * 1024;
@@ -66,7 +70,7 @@
   while (!stop.stop_requested()) {
     {
       std::unique_lock lock(mutex_);
-      filled_.wait(lock, stop, [&] { return !waiting_.empty(); });
+      filled_.wait_for(lock, stop, std::chrono::duration<double>(kAnnounce), [&] { return !waiting_.empty(); });
     }
     if (stop.stop_requested()) break;
     const double began = steady_now();
@@ -95,6 +99,7 @@
   if (!same) {
     reports_.clear();
     taken_ = Taken::unknown;
+    failing_since_ = 0;
     send_away_ = 0;
   }
   if (taken_ == Taken::no && steady_now() - asked_at_ > kAskAgain) taken_ = Taken::unknown;
@@ -106,7 +111,11 @@
   const auto answer = lead.pool->ask(pack(PeerCall{"GET", kIntakeTarget, ""}), kBatchTimeout);
   const auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
   std::lock_guard lock(mutex_);
-  if (!reply || reply->status == 503) return;
+  if (!reply || reply->status == 503) {
+    note_failure();
+    return;
+  }
+  failing_since_ = 0;
   asked_at_ = steady_now();
   taken_ = reply->status == 200 ? Taken::yes : Taken::no;
   if (taken_ == Taken::no) refuse_all();
@@ -115,7 +124,6 @@
 void IntakeSender::send_batch(const Lead& lead) {
   IntakeBatch batch;
   const auto sent = take_batch(batch, lead);
-  if (sent.empty()) return;
   const auto frame = lead.pool->ask(pack(batch), kBatchTimeout);
   const auto answer = frame ? unpack_intake_answer(*frame) : std::nullopt;
   if (frame && !answer) spdlog::error("malformed answer to a batch of reports");
@@ -127,7 +135,8 @@
   // Not known what came of it: asked once more, of whoever leads then, with whole reports.
   std::lock_guard lock(mutex_);
   reports_.clear();
-  if (frame) taken_ = Taken::unknown;
+  taken_ = Taken::unknown;
+  if (!frame) note_failure();
   for (Waiting* w : sent) {
     put_back(*w);
   }
@@ -157,6 +166,7 @@
 
 void IntakeSender::take_answer(const std::vector<Waiting*>& sent, const IntakeAnswer& answer, const Lead& lead) {
   std::lock_guard lock(mutex_);
+  failing_since_ = 0;
   send_away_ = answer.send_away;
   send_to_ = answer.send_to;
   for (std::size_t i = 0; i < sent.size(); ++i) {
@@ -181,6 +191,15 @@
   else waiting_.push_back(&waiting);
 }
 
+void IntakeSender::note_failure() {
+  const double now = steady_now();
+  if (failing_since_ == 0) failing_since_ = now;
+  if (now - failing_since_ < kLinkPatience) return;
+  taken_ = Taken::no;
+  asked_at_ = now;
+  refuse_all();
+}
+
 void IntakeSender::finish(Waiting& waiting, Passed::Outcome outcome) {
   waiting.passed.outcome = outcome;
   waiting.done = true;
--- a/src/coordination/intake_sender.hpp
+++ b/src/coordination/intake_sender.hpp
@@ -32,7 +32,7 @@
     enum class Outcome {
       answered,      // by the leader: see `answer`
       not_answered,  // in time
-      not_taken,     // the leader takes no batches
+      not_taken,     // the leader takes no batches, or can't be reached from here
     };
     Outcome outcome = Outcome::not_answered;
     WorkerAnswer answer;
@@ -55,7 +55,7 @@
     double oldest_s = 0;
   };
   [[nodiscard]] Backlog backlog() const;
-  // Whether the worker of a connection should now be told to report elsewhere, and where: this intake has more than its share.
+  // Where one of the workers should be told to report instead: this intake holds more than its share. Each call counts as one.
   std::optional<std::string> send_away();
 
  private:
@@ -73,6 +73,8 @@
   void send_batch(const Lead& lead);
   std::vector<Waiting*> take_batch(IntakeBatch& batch, const Lead& lead);
   void take_answer(const std::vector<Waiting*>& sent, const IntakeAnswer& answer, const Lead& lead);
+  // The leader did not answer. Where that lasts though it still leads, workers are better sent to it.
+  void note_failure();
   void finish(Waiting& waiting, Passed::Outcome outcome);
   // It goes into a later batch, if its time is not over.
   void put_back(Waiting& waiting);
@@ -87,6 +89,7 @@
   std::optional<Lead> lead_;
   Taken taken_ = Taken::unknown;
   double asked_at_ = 0;       // steady seconds: whether the leader takes batches
+  double failing_since_ = 0;  // steady seconds: the leader does not answer this controller; 0: it does
   ReportSender reports_;
   NameMap<double> heard_at_;  // by worker, steady seconds
   double counted_at_ = 0;
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -5,6 +5,7 @@
 
 #include "bookkeeping/waiting.hpp"
 #include "coordination/controller.hpp"
+#include "fleet/hearing.hpp"
 #include "transport/clock.hpp"
 
 namespace thistle {
@@ -23,6 +24,8 @@
 constexpr double kBounceWindow = 12.0;
 constexpr double kGreeted = 0.6;          // of a lease
 constexpr double kForwardWindow = 30.0;   // then the worker is sent to the leader once more
+constexpr double kHeardLately = 2.5;      // report periods
+constexpr double kCountPeriod = 1.0;      // seconds: how often the leader counts its own workers
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
 
@@ -319,13 +322,8 @@
     return HttpReply{200, orders_body(custody_.epoch(), {})};
   };
   if (tuning_.intake) {
-    if (auto reply = keep()) return *reply;
-    if (auto reply = report_by_intake(lock, report)) {
-      if (reply->status == 200 || role_ != Role::follower) return *reply;
-      // The leader fell silent meanwhile.
-      const auto kept = keep();
-      return kept ? *kept : *reply;
-    }
+    if (const auto other = intake_.send_away()) return {421, steward_body(*other)};
+    if (auto reply = report_by_intake(lock, report)) return *reply;
     if (role_ != Role::follower) return report_to_leader(lock, report, ReportWay::direct);
   }
   // A worker that has seen an epoch of the present leader's was with it and left it, or comes back soon after it was
@@ -333,7 +331,9 @@
   // its lease could run out on the way.
   auto& bounce = bounces_[report.host];
   // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
-  const bool was_there = report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
+  // Nor does its epoch tell where workers stay with any controller.
+  const bool was_there =
+      !tuning_.intake && report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
   const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
   if (now >= bounce.forward_until) {
     if (!left_leader || bounce.forward_until > 0) {
@@ -374,6 +374,10 @@
 HttpReply Controller::report_to_leader(Lock& lock, const Report& report, ReportWay way) {
   if (!term_->book && way == ReportWay::direct && unread_since_ == 0) await_ledger(lock);
   if (role_ == Role::follower) return {421, steward_body("")};
+  if (tuning_.intake && way == ReportWay::direct && decisive()) {
+    const double now = steady_now();
+    if (const auto other = term_->balance.from_leader(own_workers(now), now)) return {421, steward_body(*other)};
+  }
   const auto answer = answer_report(lock, report, way);
   if (answer.outcome != WorkerAnswer::Outcome::renewed) return {421, steward_body("")};
   HttpReply reply{200, orders_body(term_->epoch, answer.orders)};
@@ -381,6 +385,15 @@
   return reply;
 }
 
+std::size_t Controller::own_workers(double now) {
+  if (now - term_->own_workers_at < kCountPeriod) return term_->own_workers;
+  term_->own_workers_at = now;
+  const auto known = hearing(*term_->book, now, kHeardLately * settings_.report_s).lately;
+  const auto at_intakes = term_->balance.at_intakes(now);
+  term_->own_workers = known > at_intakes ? known - at_intakes : 0;
+  return term_->own_workers;
+}
+
 WorkerAnswer Controller::answer_report(Lock& lock, const Report& report, ReportWay way) {
   const WorkerAnswer refused{WorkerAnswer::Outcome::refused, {}};
   const bool by_peer = way != ReportWay::direct;
@@ -440,6 +453,13 @@
   if (!tuning_.intake || role_ == Role::follower || batch->takeover != term_->takeover_epoch) return pack(out);
   out.takeover = batch->takeover;
   out.epoch = term_->epoch;
+  const double now = steady_now();
+  term_->balance.heard(batch->sender, batch->workers, now);
+  if (decisive()) {
+    const auto away = term_->balance.from_intake(batch->sender, now);
+    out.send_away = away.count;
+    out.send_to = away.to;
+  }
   const bool reads_ledger = !term_->book && unread_since_ == 0;
   for (const ReportDelta& delta : batch->reports) {
     if (role_ == Role::follower) {
--- /dev/null
+++ b/src/intake/worker_balance.hpp
@@ -0,0 +1,46 @@
+// Keeps workers spread over the controllers: those that hold more than their share send some to the one that holds fewest, a few a
+// second. Kept by the leader for one lead. Pure; times are steady seconds.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "protocol/types.hpp"
+
+namespace thistle {
+
+class WorkerBalance {
+ public:
+  // Workers to be sent to another controller; 0: none.
+  struct SendAway {
+    std::uint32_t count = 0;
+    std::string to;
+  };
+  // An intake said how many workers it holds.
+  void heard(const std::string& intake, std::uint32_t workers, double now);
+  // What that intake is to send away.
+  SendAway from_intake(const std::string& intake, double now);
+  // Where the leader is to send one of its own workers, of which it holds `own`.
+  std::optional<std::string> from_leader(std::size_t own, double now);
+  // Workers at intakes that were heard of lately.
+  [[nodiscard]] std::size_t at_intakes(double now) const;
+
+ private:
+  struct Intake {
+    std::uint32_t workers = 0;
+    double heard_at = 0;
+  };
+  [[nodiscard]] bool lately(const Intake& intake, double now) const;
+  // The intake that holds fewest, but this one; null where there is none.
+  const std::pair<const std::string, Intake>* emptiest(const std::string& but, double now) const;
+  [[nodiscard]] double intake_share(double now) const;
+  // How many of these may go now.
+  std::uint32_t allowed(double wanted, double now);
+
+  NameMap<Intake> intakes_;
+  std::size_t own_ = 0;
+  double allowance_ = 0, allowance_at_ = 0;
+};
+
+}  // namespace thistle
