Tests: report intake with real controllers; their suites once more with it; any controller freezes

Eight cases with 3 and 5 controllers: orders by way of an intake, ends of leaders and intakes, an intake cut from the leader alone, late answers of a deposed leader, switching on and off one by one, malformed batches, copies of old reports. The suites of real controllers run once more with intake on. The rig freezes any controller.

--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -57,8 +57,8 @@
     cluster.start(i, newer ? plan.newer : plan.older, flags);
   }
   // Troubles by name. Half of them are met by a second one while they last, or right after; the pairs are told with the verdict.
-  enum class Kind { leader_ends, leader_freezes, door_refuses, answers_lost, late_writes, repeats, outage, gap, parted, deaf, hang, all_end, count };
-  static constexpr const char* kNames[] = {"leader-ends", "leader-freezes", "door-refuses", "answers-lost", "late-writes", "repeats",
+  enum class Kind { leader_ends, leader_freezes, any_freezes, door_refuses, answers_lost, late_writes, repeats, outage, gap, parted, deaf, hang, all_end, count };
+  static constexpr const char* kNames[] = {"leader-ends", "leader-freezes", "any-freezes", "door-refuses", "answers-lost", "late-writes", "repeats",
                                            "outage",      "gap",            "parted",       "deaf",         "hang",        "all-end"};
   void trouble() {
     const auto any = [&] { return static_cast<Kind>(random() % static_cast<unsigned>(Kind::count)); };
@@ -166,6 +166,13 @@
         lasts(0.5 + 0.5 * (random() % 8));
         cluster.freeze(leader, false);
         break;
+      case Kind::any_freezes:
+        // With answers to its workers in hand, and back under another leader.
+        say("host-" + std::to_string(i) + " stands still");
+        cluster.freeze(i, true);
+        lasts(0.5 + 0.5 * (random() % 16));
+        cluster.freeze(i, false);
+        break;
       case Kind::door_refuses:
         say("a door refuses, or no longer");
         door.refuses = !door.refuses;
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
+
 #include "coordination/controller.hpp"
 #include "protocol/messages.hpp"
 #include "rig/state_service.hpp"
@@ -35,10 +37,11 @@
   return nlohmann::json::parse(r.body).at("status");
 }
 
-// Tests that are not of state levels keep to one.
+// Tests that are not of state levels keep to one. All of them are run twice: with report intake and without (CMakeLists.txt).
 inline Tuning one_level() {
   Tuning t;
   t.state_level_soak_s = 600;
+  t.intake = std::getenv("THISTLEFRONT_TEST_INTAKE") != nullptr;
   return t;
 }
 
--- /dev/null
+++ b/tests/intake_controllers_test.cpp
@@ -0,0 +1,214 @@
+// Report intake with real controllers: workers stay with whichever controller they found, and nothing that happens to it, to the
+// leader or to the link between them costs a lease or a machine.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <numeric>
+
+#include "protocol/intake_messages.hpp"
+#include "protocol/peer_messages.hpp"
+#include "town.hpp"
+
+namespace thistle {
+namespace {
+
+using testing_::wait;
+
+constexpr rig::Times kTimes{0.5, 5, 20, 0.1};  // report, lease, cancel, pull
+constexpr std::size_t kMachines = 20, kTasks = 2;
+
+class IntakeOf : public testing_::Town, public testing::WithParamInterface<std::size_t> {
+ protected:
+  IntakeOf() : Town(kTimes) {
+    cloud = [this](const HttpCall& call) -> HttpReply {
+      if (call.target == kFlavorsPath) return {200, testing_::kFlavors};
+      if (call.method == "GET") return {200, all_begun ? listed() : R"({"hosts":[],"truncated":false})"};
+      if (call.target == "/rentals/release") ++releases;
+      return {503, R"({"error":"no capacity"})"};
+    };
+  }
+  static Tuning tuning(bool intake) {
+    Tuning out = testing_::one_level();
+    out.intake = intake;
+    return out;
+  }
+  void begin_with_work(bool intake = true) {
+    begin(GetParam(), kMachines, "x", tuning(intake));
+    all_begun = true;
+    for (int i = 0; i < 6; ++i) {
+      jobs.push_back("j-" + std::to_string(i + 1));
+      checker.submitted({jobs.back(), "red", "batch", "", kTasks, 1, 1000}, steady_now());
+      ASSERT_TRUE(cluster->submit_until(jobs.back(), 20));
+      checker.told(jobs.back(), "queued", steady_now());
+    }
+    ASSERT_TRUE(cluster->eventually(20, [&] { return all_run(); }));
+  }
+  bool all_run() {
+    return std::all_of(jobs.begin(), jobs.end(), [&](const auto& uid) { return running(uid) == kTasks; });
+  }
+  // No lease lapsed: each machine is in its first session.
+  void expect_first_sessions(const char* when) {
+    for (auto& w : workers) EXPECT_EQ(w->tenure(), 1u) << w->name() << ", " << when;
+    EXPECT_EQ(releases, 0) << "no machine is given back, " << when;
+  }
+  double metric(std::size_t node, const std::string& name) const {
+    const auto text = cluster->metric(node, name + " ");
+    return text.empty() ? 0 : std::strtod(text.substr(text.find(' ')).c_str(), nullptr);
+  }
+  // Reports that followers passed on so far.
+  double passed_on() {
+    double out = 0;
+    for (std::size_t i = 0; i < GetParam(); ++i) out += metric(i, "reports_passed_on_total");
+    return out;
+  }
+  bool passes_on() {
+    const double before = passed_on();
+    return cluster->eventually(5, [&] { return passed_on() > before + 3; });
+  }
+  std::string listed() {
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const auto& w : workers)
+      hosts.push_back({{"uid", w->name()}, {"address", w->address()}, {"hostKind", "big"}, {"yard", "x"}, {"loaners", false},
+                       {"status", "running"}, {"heldS", 100}});
+    return nlohmann::json{{"hosts", hosts}, {"truncated", false}}.dump();
+  }
+
+  std::vector<std::string> jobs;
+  std::atomic<int> releases{0};
+  std::atomic<bool> all_begun{false};  // the machines may be listed
+};
+
+TEST_P(IntakeOf, WorkersStayAndAreStartedAndCancelledByWayOfIt) {
+  begin_with_work();
+  EXPECT_TRUE(passes_on());
+  checker.wants_withdrawn("j-1");
+  ASSERT_TRUE(cluster->eventually(10, [&] { return withdraw(0, "j-1") == "aborted"; }));
+  wait(1);
+  // By its answers alone too, where no direct command reaches the machines.
+  for (auto& w : workers) w->cut_commands(true);
+  checker.wants_withdrawn("j-2");
+  ASSERT_TRUE(cluster->eventually(10, [&] { return withdraw(0, "j-2") == "aborted"; }));
+  EXPECT_TRUE(cluster->eventually(10, [&] { return std::accumulate(workers.begin(), workers.end(), std::size_t{0}, [](auto sum, auto& w) { return sum + w->holds(); }) == 4 * kTasks; }));
+  expect_first_sessions("at the end");
+}
+
+TEST_P(IntakeOf, ALeaderThatEndsCostsNoLease) {
+  begin_with_work();
+  for (int round = 0; round < 2; ++round) {
+    const auto first = cluster->leader();
+    cluster->stop(first);
+    ASSERT_TRUE(cluster->eventually(20, [&] { return cluster->leader() != first; }));
+    cluster->start(first, tuning(true));
+    wait(2 * kTimes.lease);
+    expect_first_sessions("after a leader ended");
+    EXPECT_TRUE(cluster->eventually(20, [&] { return all_run(); }));
+  }
+}
+
+// It must not look like the loss of its workers: they come back by way of another one.
+TEST_P(IntakeOf, AnIntakeThatEndsCostsNoLeaseAndNoMachine) {
+  begin_with_work();
+  for (double away : {0.05, 2 * kTimes.lease}) {
+    const auto one = (cluster->leader() + 1) % GetParam();
+    cluster->stop(one);
+    wait(away);
+    cluster->start(one, tuning(true));
+    wait(2 * kTimes.lease);
+    expect_first_sessions("after an intake ended");
+    EXPECT_TRUE(all_run());
+  }
+}
+
+// Controllers that can't reach each other, while the workers reach all of them.
+TEST_P(IntakeOf, AnIntakeCutFromTheLeaderAloneSendsItsWorkersToIt) {
+  begin_with_work();
+  const auto leader = cluster->leader();
+  const auto one = (leader + 1) % GetParam();
+  part(one, leader, true);
+  wait(3 * kTimes.lease);
+  part(one, leader, false);
+  expect_first_sessions("after the cut");
+  EXPECT_TRUE(all_run());
+  // And is one of them again.
+  EXPECT_TRUE(cluster->eventually(30, [&] {
+    const double before = metric(one, "reports_passed_on_total");
+    wait(0.7);
+    return metric(one, "reports_passed_on_total") > before;
+  }));
+}
+
+// Held up by a cut, batches reach a leader that was deposed meanwhile, and its answers come back late.
+TEST_P(IntakeOf, ADeposedLeadersLateAnswersHarmNothing) {
+  begin_with_work();
+  const auto first = cluster->leader();
+  part(first, true);
+  cluster->state.door(first).refuses = true;
+  ASSERT_TRUE(cluster->eventually(20, [&] { return cluster->leader() != first; }));
+  checker.wants_withdrawn("j-1");
+  const auto next = cluster->leader();
+  wait(1);
+  part(first, false);
+  cluster->state.door(first).refuses = false;
+  ASSERT_TRUE(cluster->eventually(20, [&] { return withdraw(next, "j-1") == "aborted"; }));
+  wait(kTimes.lease + 1);
+  EXPECT_TRUE(cluster->eventually(10, [&] {
+    return std::all_of(jobs.begin() + 1, jobs.end(), [&](const auto& uid) { return running(uid) == kTasks; });
+  }));
+  EXPECT_EQ(releases, 0);
+}
+
+// Operators switch it on and off by restarting one controller after the other; older builds are like ones with it off.
+TEST_P(IntakeOf, SwitchedOnAndOffOneControllerAfterTheOther) {
+  begin_with_work(false);
+  EXPECT_EQ(passed_on(), 0) << "off: workers are with the leader";
+  for (const bool on : {true, false}) {
+    for (std::size_t i = 0; i < GetParam(); ++i) {
+      cluster->start(i, tuning(on));
+      wait(1.5);
+      EXPECT_TRUE(cluster->eventually(20, [&] { return all_run(); })) << i << (on ? " on" : " off");
+    }
+    if (!on) continue;
+    EXPECT_TRUE(passes_on());
+  }
+  const double before = passed_on();
+  wait(2);
+  EXPECT_EQ(passed_on(), before);
+  expect_first_sessions("after both");
+}
+
+TEST_P(IntakeOf, AMalformedBatchChangesNothing) {
+  begin_with_work();
+  const auto leader = cluster->leader();
+  FramePool peer(cluster->settings(leader).peer_listen, 2);
+  for (const std::string& payload : {std::string(), std::string("\1\2\3"), std::string(5000, '\xff'), std::string(64, '\1')}) {
+    const auto answer = peer.ask({static_cast<std::uint8_t>(PeerKind::intake_batch), payload}, 2);
+    ASSERT_TRUE(answer) << payload.size();
+    const auto reply = unpack_reply(*answer, steady_now());
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, 400u);
+  }
+  // Well formed, and of another lead: not taken.
+  const auto answer = peer.ask(pack(IntakeBatch{"host-9", 1000000, 1, {}}), 2);
+  ASSERT_TRUE(answer);
+  const auto other_lead = unpack_intake_answer(*answer);
+  ASSERT_TRUE(other_lead);
+  EXPECT_EQ(other_lead->takeover, 0u);
+  wait(kTimes.lease);
+  expect_first_sessions("after malformed batches");
+  EXPECT_TRUE(all_run());
+}
+
+// The worker's older connection at another intake: a copy of its report comes by that way when it has moved on.
+TEST_P(IntakeOf, AnOldReportByWayOfAnotherIntakeRenewsNothing) {
+  begin_with_work();
+  for (auto& w : workers) w->copy_reports(true);
+  wait(3 * kTimes.lease);
+  expect_first_sessions("with copies of reports at any controller");
+  EXPECT_TRUE(all_run());
+}
+
+INSTANTIATE_TEST_SUITE_P(Controllers, IntakeOf, testing::Values(3, 5));
+
+}  // namespace
+}  // namespace thistle
