Leader: commands that nobody answers tell that it is cut from the workers; capacity page

WithIntake/Leadership.OneThatWorkersReachByWayOfOthersOnlyHandsOver failed: with intake all workers report by way of others, and one machine's failing commands were not enough to hand over.

--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -239,6 +239,7 @@
         Host& host = term_->book->host(term_->book->host_named(p.name));
         host.direct_at = steady_now();
         host.commands_fail = false;
+        term_->commands_failing_since = 0;
       } catch (const Malformed& e) {
         spdlog::error("{}: malformed status: {}", p.name, e.what());
       }
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -91,6 +91,7 @@
     Floor floor;                       // by the numbers of this term's book
     ReportReceiver intake_reports;     // that other controllers passed on
     WorkerBalance balance;             // of workers over the controllers
+    double commands_failing_since = 0; // steady seconds: no direct command was answered since; 0: the latest one was
     std::size_t own_workers = 0;       // that report to this controller itself, as counted last
     double own_workers_at = 0;         // steady seconds
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -25,6 +25,7 @@
 constexpr double kGreeted = 0.6;          // of a lease
 constexpr double kForwardWindow = 30.0;   // then the worker is sent to the leader once more
 constexpr double kHeardLately = 2.5;      // report periods
+constexpr double kCommandsLost = 2.0;     // seconds without an answered command, though some were sent
 constexpr double kCountPeriod = 1.0;      // seconds: how often the leader counts its own workers
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
@@ -428,7 +429,9 @@
   if (late_start_of_cancelled(book, host, now, span)) return refused;
   note_answer(host, stale, now);
   // A worker that stays with a peer has not tried to reach this controller: what is known is whether commands reach it.
-  const bool reaches = way == ReportWay::direct || (way == ReportWay::intake && !host.commands_fail);
+  const double failing = term_->commands_failing_since;
+  const bool commands_reach = !host.commands_fail && (failing == 0 || now - failing < kCommandsLost);
+  const bool reaches = way == ReportWay::direct || (way == ReportWay::intake && commands_reach);
   if (reaches && !stale) host.direct_at = now;
   const bool newest = host.tenure == report.tenure && host.serial == report.serial;
   // Each answer that renews a lease carries the kills of what is cancelled, also one to a report that another overtook.
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -154,6 +154,8 @@
     spdlog::debug("{}: a start is in doubt", again.name);
   }
   again.commands_fail = !understood;
+  if (understood) term_->commands_failing_since = 0;
+  else if (term_->commands_failing_since == 0) term_->commands_failing_since = steady_now();
   if (!understood) {
     due_.failed(h, steady_now() + kPauseAfterFailure);
     return;
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -19,10 +19,10 @@
 BEGIN, END = "<!-- made by tools/capacity.py: begin -->", "<!-- made by tools/capacity.py: end -->"
 
 # The target of the operators' letter.
-WORKERS, TASKS, STARTS, CELLS = 21000, 430000, 5900, 9
-CONTROLLERS_A_CELL = 3
+WORKERS, TASKS, STARTS, CELLS = 21000, 430000, 5900, 4  # a cell a region (docs/scale.md)
 WORKER_BYTES_A_SECOND = 4000
-FITTED = (500, 1000, 1500, 2000)  # sizes at which no bound of threads was reached
+FITTED = (500, 1000, 1500, 2000)  # sizes with three runs
+MOST_THREADS = 1700  # a point whose leader has more had reached the bound of its threads: not fitted
 
 
 def line(points):
@@ -68,8 +68,9 @@
 
 
 def slope_table(label, points):
-    rows = [f"### Slopes: `{label}`, {len(points)} points", "",
-            "| what | slope | range over the runs | at 0 workers | a cell of the target | worst point off the line |", "| --- | --- | --- | --- | --- | --- |"]
+    sizes = sorted({p["workers"] for p in points})
+    rows = [f"### Slopes: `{label}`, {len(points)} points from {sizes[0]} to {sizes[-1]} workers, 3 controllers", "",
+            "| what | slope | range over the runs | at 0 workers | a cell of the target (computed) | worst point off the line |", "| --- | --- | --- | --- | --- | --- |"]
     cell = WORKERS / CELLS
     for name, unit, scale, value in QUANTITIES:
         (slope, intercept, worst), least, most = slopes(points, value)
@@ -100,7 +101,8 @@
     points.sort(key=lambda p: (p["label"], p["trouble"], p["workers"], p["seed"]))
     rows = [f"Target of a cell: {WORKERS} workers in {CELLS} cells, {WORKERS / CELLS:.0f} each, {TASKS / CELLS:.0f} tasks, {STARTS / CELLS:.0f} starts a second.", ""]
     for label in sorted({p["label"] for p in points}):
-        fitted = [p for p in points if p["label"] == label and not p["trouble"] and p["workers"] in FITTED and p["ramp_reached"]]
+        fitted = [p for p in points if p["label"] == label and not p["trouble"] and p["workers"] in FITTED and p["ramp_reached"]
+                  and p["leader"]["threads"] < MOST_THREADS]
         if len({p["workers"] for p in fitted}) >= 3:
             rows += slope_table(label, fitted)
             bytes_slope = slopes(fitted, lambda p: p["fleet"]["report_bytes_per_s"] + p["fleet"]["answer_bytes_per_s"] + p["fleet"]["command_bytes_per_s"])[0][0]
