--- a/rig/checker.cpp
+++ b/rig/checker.cpp
@@ -47,27 +47,25 @@
     job.accepted = true;
     job.accepted_at = std::min(job.accepted_at, now);
   }
-  if (ended && !job.last.empty() && status != job.last)
-    broke("went_back", uid + " was " + job.last + " and is " + status, now);
+  if (ended && !job.last.empty() && status != job.last) broke("went_back", uid + " was " + job.last + " and is " + status, now);
   if (known && !ended) job.unended_asked = std::max(job.unended_asked, sent);
   if (ended && (job.last.empty() || now < job.ended_at)) job.ended_at = now;
   if (ended) job.last = status;
   if (job.accepted && job.unknown_asked > job.accepted_at) {
-    broke("forgotten", uid + " was unknown or refused, asked " + std::to_string(job.unknown_asked - job.accepted_at) +
-                           " s after it was accepted", now);
+    broke("forgotten",
+          uid + " was unknown or refused, asked " + std::to_string(job.unknown_asked - job.accepted_at) + " s after it was accepted", now);
     job.unknown_asked = 0;
   }
   if (job.ended_at > 0 && job.unended_asked > job.ended_at) {
-    broke("went_back", uid + " was " + job.last + " and then not, asked " +
-                           std::to_string(job.unended_asked - job.ended_at) + " s later", now);
+    broke("went_back", uid + " was " + job.last + " and then not, asked " + std::to_string(job.unended_asked - job.ended_at) + " s later",
+          now);
     job.unended_asked = 0;
   }
   if ((status == "queued" || status == "running") && job.last.empty()) {
     const double above = cancelled_above(uid);
     if (above > 0 && sent > above + cancel_s_) broke("orphaned", uid + " is " + status, now);
   }
-  if (status == "aborted" && !withdrawal_wanted_above(uid))
-    broke("went_back", uid + " is aborted, and nobody asked for it", now);
+  if (status == "aborted" && !withdrawal_wanted_above(uid)) broke("went_back", uid + " is aborted, and nobody asked for it", now);
   if (status == "done" && job.done.size() < job.spec.pieces) broke("not_done", uid, now);
   if (status == "aborted" && (job.cancelled_at == 0 || now < job.cancelled_at)) job.cancelled_at = now;
 }
@@ -76,14 +74,14 @@
   std::lock_guard lock(mutex_);
   Job& job = jobs_[uid];
   if (job.failing_since == 0) job.failing_since = now;
-  if (job.accepted && now - job.failing_since > kForgottenAfter && (now - polled_at_ < 1 || (healed_at_ > 0 && now - healed_at_ > kForgottenAfter))) {
+  if (job.accepted && now - job.failing_since > kForgottenAfter &&
+      (now - polled_at_ < 1 || (healed_at_ > 0 && now - healed_at_ > kForgottenAfter))) {
     broke("forgotten", uid + ": its polls fail", now);
     job.failing_since = now;
   }
 }
 
-void Checker::on(const std::string& uid, std::uint32_t task, const std::string& machine,
-                 const std::string& zone, double now) {
+void Checker::on(const std::string& uid, std::uint32_t task, const std::string& machine, const std::string& zone, double now) {
   std::lock_guard lock(mutex_);
   Job& job = jobs_[uid];
   auto& on = job.on[task];
@@ -93,14 +91,12 @@
   for (const auto& need : job.spec.waits_on)
     if (const auto& of = jobs_.at(need); of.done.size() < of.spec.pieces) broke("too_early", name + " before " + need, now);
   if (!job.spec.yard.empty() && job.spec.yard != zone) broke("wrong_place", name + " in " + zone, now);
-  if (job.cancelled_at > 0 && now > job.cancelled_at + cancel_s_)
-    broke("ran_cancelled", name + " starts", now);
+  if (job.cancelled_at > 0 && now > job.cancelled_at + cancel_s_) broke("ran_cancelled", name + " starts", now);
   on.insert(machine);
   auto& used = used_[job.spec.owner];
   used += job.spec.cores;
   const auto limit = limits_.find(job.spec.owner);
-  if (limit != limits_.end() && used > limit->second + kSlack)
-    broke("quota", job.spec.owner + " uses " + std::to_string(used), now);
+  if (limit != limits_.end() && used > limit->second + kSlack) broke("quota", job.spec.owner + " uses " + std::to_string(used), now);
 }
 
 void Checker::off(const std::string& uid, std::uint32_t task, const std::string& machine, bool done, double) {
@@ -144,8 +140,7 @@
   const auto it = jobs_.find(uid);
   if (it == jobs_.end()) return false;
   const auto& needs = it->second.spec.waits_on;
-  return it->second.withdrawal_wanted ||
-         std::any_of(needs.begin(), needs.end(), [&](const auto& n) { return withdrawal_wanted_above(n); });
+  return it->second.withdrawal_wanted || std::any_of(needs.begin(), needs.end(), [&](const auto& n) { return withdrawal_wanted_above(n); });
 }
 
 Checker::Pipelines Checker::pipelines() const {
--- a/rig/checker.hpp
+++ b/rig/checker.hpp
@@ -20,8 +20,7 @@
 
 class Checker {
  public:
-  Checker(std::map<std::string, double> limits, double cancel_s)
-      : limits_(std::move(limits)), cancel_s_(cancel_s) {}
+  Checker(std::map<std::string, double> limits, double cancel_s) : limits_(std::move(limits)), cancel_s_(cancel_s) {}
 
   // What a team may use from now on; while controllers' settings differ, the highest of them.
   void limit(const std::string& team, double cores);
@@ -36,8 +35,7 @@
   // A poll that got no true answer.
   void failed_poll(const std::string& uid, double now);
   // A task is on a machine from when it has its image until it is off it.
-  void on(const std::string& uid, std::uint32_t task, const std::string& machine, const std::string& zone,
-          double now);
+  void on(const std::string& uid, std::uint32_t task, const std::string& machine, const std::string& zone, double now);
   void off(const std::string& uid, std::uint32_t task, const std::string& machine, bool done, double now);
   // Looks for what time alone breaks.
   void tick(double now);
@@ -50,7 +48,7 @@
   [[nodiscard]] std::size_t tasks_done() const;
   [[nodiscard]] std::size_t ended_tasks(const std::string& uid) const;  // that were done, known to its users or not
   struct Pipelines {
-    double first_accepted = 0;  // steady seconds; 0: none
+    double first_accepted = 0;                          // steady seconds; 0: none
     std::size_t accepted = 0, done = 0, cancelled = 0;  // jobs that wait for others
   };
   [[nodiscard]] Pipelines pipelines() const;
@@ -62,9 +60,9 @@
   struct Job {
     JobSpec spec;
     bool accepted = false, withdrawal_wanted = false;
-    std::string last;  // "done" or "aborted", once told
+    std::string last;                                                           // "done" or "aborted", once told
     double accepted_at = 0, ended_at = 0, cancelled_at = 0, failing_since = 0;  // earliest answers
-    double unknown_asked = 0, unended_asked = 0;  // latest question that was answered so
+    double unknown_asked = 0, unended_asked = 0;                                // latest question that was answered so
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, std::multiset<std::string>> on;  // task -> machines
   };
--- a/rig/cluster.cpp
+++ b/rig/cluster.cpp
@@ -22,8 +22,7 @@
     : checker(kLimits, Times{}.cancel),
       state(options.controllers, options.seed),
       options_(options),
-      directory_((std::filesystem::temp_directory_path() / ("thistlefront-rig-" + std::to_string(::getpid())))
-                     .string()),
+      directory_((std::filesystem::temp_directory_path() / ("thistlefront-rig-" + std::to_string(::getpid()))).string()),
       cloud_address_(testing_::free_address()) {
   std::filesystem::create_directories(directory_);
   cloud_ = std::make_unique<HttpServer>(cloud_address_, 20, [this](const HttpCall& c) { return cloud(c); });
@@ -39,31 +38,28 @@
   for (std::size_t i = 0; i < n; ++i) configure(i, kLimits);
   processes_.resize(n);
   for (std::size_t i = 0; i < options.workers; ++i)
-    workers.push_back(std::make_unique<Worker>("m-" + std::to_string(100000 + i), kZones[i % 2], addresses_,
-                                               checker, times_,
+    workers.push_back(std::make_unique<Worker>("m-" + std::to_string(100000 + i), kZones[i % 2], addresses_, checker, times_,
                                                options.seed * 10000 + static_cast<unsigned>(i)));
   ticker_ = std::jthread([this](std::stop_token stop) {
     while (pause_for(stop, kTick)) checker.tick(steady_now());
   });
   for (std::size_t i = 0; i < options.users; ++i)
-    users_.emplace_back(
-        [this, i](std::stop_token stop) { use(stop, options_.seed * 100 + static_cast<unsigned>(i)); });
+    users_.emplace_back([this, i](std::stop_token stop) { use(stop, options_.seed * 100 + static_cast<unsigned>(i)); });
 }
 
 void Cluster::configure(std::size_t i, const std::map<std::string, double>& limits) {
   const auto n = configs_.size();
   std::ofstream out(configs_[i]);
-  out << "label = \"host-" << i << "\"\nsite = \"" << kZones[i % 2] << "\"\nclient_listen = \""
-      << addresses_[i] << "\"\npeer_listen = \"" << peers_[i] << "\"\n";
+  out << "label = \"host-" << i << "\"\nsite = \"" << kZones[i % 2] << "\"\nclient_listen = \"" << addresses_[i] << "\"\npeer_listen = \""
+      << peers_[i] << "\"\n";
   for (std::size_t k = 0; k < n; ++k)
     if (k != i)
-      out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % 2] << "\"\naddr = \""
-          << relays_.at({i, k})->address() << "\"\n";
+      out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % 2] << "\"\naddr = \"" << relays_.at({i, k})->address()
+          << "\"\n";
   out << "[endpoints]\ncloud = \"" << cloud_address_ << "\"\nstate = \"" << state.door(i).address << "\"\n"
       << "[deployment]\ncount = " << n << "\nzones = [\"x\", \"y\"]\nskew_ms = 5\n";
   for (const auto& [team, limit] : limits)
-    out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << limit / 2 << "\ncpus_max = " << limit
-        << "\n";
+    out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << limit / 2 << "\ncpus_max = " << limit << "\n";
   out << "[deployment.workers]\nreport_s = " << times_.report << "\nlease_s = " << times_.lease
       << "\ngang_wait_s = 10\ngang_peer_s = 2\ncancel_s = " << times_.cancel
       << "\n[deployment.state]\nrps = 1000\nwrite_rps = 200\nvalue_kb = 8\ntxn_ops = 16\n"
@@ -87,9 +83,13 @@
   processes_[i].start(program, arguments, log);
 }
 
-void Cluster::end(std::size_t i) { processes_[i].end(); }
+void Cluster::end(std::size_t i) {
+  processes_[i].end();
+}
 
-void Cluster::freeze(std::size_t i, bool frozen) { processes_[i].freeze(frozen); }
+void Cluster::freeze(std::size_t i, bool frozen) {
+  processes_[i].freeze(frozen);
+}
 
 void Cluster::part(std::size_t i, bool parted, bool state_too) {
   for (auto& [way, relay] : relays_)
@@ -135,8 +135,7 @@
   return {503, R"({"error":"no capacity"})"};
 }
 
-HttpResult Cluster::ask(const std::string& method, const std::string& path, const std::string& body,
-                        unsigned& random) {
+HttpResult Cluster::ask(const std::string& method, const std::string& path, const std::string& body, unsigned& random) {
   HttpResult last;
   for (std::size_t k = 0; k < addresses_.size(); ++k) {
     random = random * 1664525u + 1013904223u;
--- a/rig/cluster.hpp
+++ b/rig/cluster.hpp
@@ -43,8 +43,7 @@
   void part(std::size_t i, bool parted, bool state_too);
   [[nodiscard]] std::size_t leader();  // or the number of controllers
   // Asks any controller that answers.
-  HttpResult ask(const std::string& method, const std::string& path, const std::string& body,
-                 unsigned& random);
+  HttpResult ask(const std::string& method, const std::string& path, const std::string& body, unsigned& random);
   void stop_users() { users_.clear(); }
 
   Checker checker;
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -22,9 +22,9 @@
   Cluster::Options cluster;
   std::string older, newer;
   double seconds = 40, settle = 60;
-  unsigned level = 4;  // that the newer build has
-  double restart_after = 1;  // seconds at most
-  double soak = 0;           // seconds; 0: the build's own
+  unsigned level = 4;          // that the newer build has
+  double restart_after = 1;    // seconds at most
+  double soak = 0;             // seconds; 0: the build's own
   std::string intake = "off";  // report intake: on, off, or drawn by each start of a controller
   bool back = false, verbose = false;
 };
@@ -37,11 +37,7 @@
 class Play {
  public:
   explicit Play(const Plan& plan)
-      : plan(plan),
-        cluster(plan.cluster),
-        random(plan.cluster.seed),
-        is_new(plan.cluster.controllers, false),
-        began_(steady_now()) {
+      : plan(plan), cluster(plan.cluster), random(plan.cluster.seed), is_new(plan.cluster.controllers, false), began_(steady_now()) {
     for (auto& w : cluster.workers) w->copy_reports(true);
   }
 
@@ -57,9 +53,25 @@
     cluster.start(i, newer ? plan.newer : plan.older, flags);
   }
   // Troubles by name. Half of them are met by a second one while they last, or right after; the pairs are told with the verdict.
-  enum class Kind { leader_ends, leader_freezes, any_freezes, door_refuses, answers_lost, late_writes, repeats, outage, gap, parted, deaf, hang, all_end, count };
-  static constexpr const char* kNames[] = {"leader-ends", "leader-freezes", "any-freezes", "door-refuses", "answers-lost", "late-writes", "repeats",
-                                           "outage",      "gap",            "parted",       "deaf",         "hang",        "all-end"};
+  enum class Kind {
+    leader_ends,
+    leader_freezes,
+    any_freezes,
+    door_refuses,
+    answers_lost,
+    late_writes,
+    repeats,
+    outage,
+    gap,
+    parted,
+    deaf,
+    hang,
+    all_end,
+    count
+  };
+  static constexpr const char* kNames[] = {"leader-ends", "leader-freezes", "any-freezes", "door-refuses", "answers-lost",
+                                           "late-writes", "repeats",        "outage",      "gap",          "parted",
+                                           "deaf",        "hang",           "all-end"};
   void trouble() {
     const auto any = [&] { return static_cast<Kind>(random() % static_cast<unsigned>(Kind::count)); };
     const Kind first = any();
@@ -106,18 +118,16 @@
       unanswered += !known;
     }
     const auto broken = cluster.checker.broken();
-    std::cout << "seed " << plan.cluster.seed << ": " << events << " events, " << accepted.size()
-              << " jobs accepted, " << cluster.checker.tasks_done()
-              << " tasks done, longest without an acceptance "
+    std::cout << "seed " << plan.cluster.seed << ": " << events << " events, " << accepted.size() << " jobs accepted, "
+              << cluster.checker.tasks_done() << " tasks done, longest without an acceptance "
               << cluster.checker.longest_without_acceptance(began_, healed_) << " s ("
-              << cluster.checker.longest_without_acceptance(healed_, healed_ + 8) << " s when all was well), "
-              << more << unanswered << " unanswered, " << cluster.state.unfenced() << " unfenced, "
-              << cluster.state.too_large() << " too large, " << broken.size() << " rules broken" << std::endl;
+              << cluster.checker.longest_without_acceptance(healed_, healed_ + 8) << " s when all was well), " << more << unanswered
+              << " unanswered, " << cluster.state.unfenced() << " unfenced, " << cluster.state.too_large() << " too large, "
+              << broken.size() << " rules broken" << std::endl;
     const auto p = cluster.checker.pipelines();
     if (p.accepted > 0)
       std::cout << "  " << p.accepted << " jobs waited for others, " << p.done << " of them done, " << p.cancelled
-                << " told cancelled; the first was accepted " << p.first_accepted - all_new << " s after all were new"
-                << std::endl;
+                << " told cancelled; the first was accepted " << p.first_accepted - all_new << " s after all were new" << std::endl;
     std::cout << "  pairs:";
     for (const auto& [names, times] : pairs) std::cout << " " << names << (times > 1 ? "*" + std::to_string(times) : "");
     std::cout << std::endl;
@@ -133,7 +143,7 @@
   std::vector<bool> is_new;
   std::size_t events = 0;
   std::map<std::string, std::size_t> pairs;  // of troubles that met, by their names
-  double all_new = 0;  // steady seconds
+  double all_new = 0;                        // steady seconds
 
  private:
   // The second trouble of a pair, in the middle of the first one.
@@ -215,8 +225,7 @@
         const auto zone = cluster.workers.empty() ? std::string() : cluster.workers.front()->zone();
         say("answers do not reach " + std::string(share == 0 ? "a machine" : share == 1 ? "some machines" : "a zone"));
         for (auto& w : cluster.workers) {
-          if (share == 0 ? random() % cluster.workers.size() == 0 : share == 1 ? random() % 4 == 0 : w->zone() == zone)
-            w->deafen(until);
+          if (share == 0 ? random() % cluster.workers.size() == 0 : share == 1 ? random() % 4 == 0 : w->zone() == zone) w->deafen(until);
         }
         break;
       }
@@ -263,14 +272,12 @@
   play.all_new = steady_now();
   play.cluster.pipelines = plan.level >= 4;
   bool well = play.level_comes_on(plan.level, plan.settle);
-  std::string more =
-      well ? "level on after " + std::to_string(play.since_healed()) + " s, " : "level NOT on, ";
+  std::string more = well ? "level on after " + std::to_string(play.since_healed()) + " s, " : "level NOT on, ";
   wait(5);
   // The state service takes less from some moment on; and trouble goes on, with jobs that wait for others.
   if (plan.level >= 4) {
     play.cluster.state.limit(2048, 4);
-    for (const double until = steady_now() + plan.seconds / 2; steady_now() < until; wait(0.5 + 0.25 * (play.random() % 8)))
-      play.trouble();
+    for (const double until = steady_now() + plan.seconds / 2; steady_now() < until; wait(0.5 + 0.25 * (play.random() % 8))) play.trouble();
     play.heal();
     for (std::size_t i = 0; i < n; ++i) play.start(i, true);
     wait(10);
@@ -281,8 +288,7 @@
     const double held = steady_now();
     for (std::size_t i = 0; i < n; ++i, wait(1)) play.start(i, true, {"--state-level-most", "1"});
     const bool back = play.level_comes_on(1, plan.settle);
-    more += back ? "back at level 1 after " + std::to_string(steady_now() - held) + " s, "
-                 : "NOT back at level 1, ";
+    more += back ? "back at level 1 after " + std::to_string(steady_now() - held) + " s, " : "NOT back at level 1, ";
     well = well && back;
     for (std::size_t i = 0; i < n; ++i, wait(1)) play.start(i, false);
     wait(8);
@@ -362,8 +368,8 @@
   wait(8);
   std::sort(back.begin(), back.end());
   const auto at = [&](double share) { return back.empty() ? 0 : back[static_cast<std::size_t>(share * (back.size() - 1))]; };
-  return play.verdict("back after " + std::to_string(at(0.5)) + " s at the median, " + std::to_string(at(1)) +
-                      " s at most, " + std::to_string(never) + " times not within 10 s, ") &&
+  return play.verdict("back after " + std::to_string(at(0.5)) + " s at the median, " + std::to_string(at(1)) + " s at most, " +
+                      std::to_string(never) + " times not within 10 s, ") &&
          well && never == 0;
 }
 
@@ -422,39 +428,28 @@
   unsigned first = 1, last = 1;
   std::function<bool(const Plan&)> play;
   const auto common = [&](CLI::App* sub) {
-    sub->add_option("--newer", plan.newer, "program of the newer build")
-        ->required()
-        ->check(CLI::ExistingFile);
-    sub->add_option("--controllers", plan.cluster.controllers)
-        ->check(CLI::Range(1, 9))
-        ->capture_default_str();
+    sub->add_option("--newer", plan.newer, "program of the newer build")->required()->check(CLI::ExistingFile);
+    sub->add_option("--controllers", plan.cluster.controllers)->check(CLI::Range(1, 9))->capture_default_str();
     sub->add_option("--workers", plan.cluster.workers)->check(CLI::Range(1, 3000))->capture_default_str();
     sub->add_option("--users", plan.cluster.users)->check(CLI::Range(1, 200))->capture_default_str();
     sub->add_option("--first-seed", first)->capture_default_str();
     sub->add_option("--last-seed", last)->capture_default_str();
     sub->add_option("--level", plan.level, "state level that the newer build has")->capture_default_str();
     sub->add_option("--seconds", plan.seconds, "of trouble")->capture_default_str();
-    sub->add_option("--settle", plan.settle, "seconds within which the level must come on")
-        ->capture_default_str();
-    sub->add_option("--logs", plan.cluster.logs, "directory for what the controllers write")
-        ->check(CLI::ExistingDirectory);
+    sub->add_option("--settle", plan.settle, "seconds within which the level must come on")->capture_default_str();
+    sub->add_option("--logs", plan.cluster.logs, "directory for what the controllers write")->check(CLI::ExistingDirectory);
     sub->add_option("--soak", plan.soak, "seconds that a level is waited with; 0: as the build does")->capture_default_str();
     sub->add_option("--intake", plan.intake, "report intake on the newer build")
         ->check(CLI::IsMember({"on", "off", "drawn"}))
         ->capture_default_str();
     sub->add_flag("--verbose", plan.verbose, "tells each event");
   };
-  auto* rollout =
-      app.add_subcommand("rollout", "two builds rolled forward and back, in any order, under trouble");
+  auto* rollout = app.add_subcommand("rollout", "two builds rolled forward and back, in any order, under trouble");
   common(rollout);
-  rollout->add_option("--older", plan.older, "program of the older build")
-      ->required()
-      ->check(CLI::ExistingFile);
-  rollout->add_flag("--back", plan.back,
-                    "afterwards the newer build is held at level 1 and the older one rolled out again");
+  rollout->add_option("--older", plan.older, "program of the older build")->required()->check(CLI::ExistingFile);
+  rollout->add_flag("--back", plan.back, "afterwards the newer build is held at level 1 and the older one rolled out again");
   rollout->callback([&] { play = roll_out; });
-  auto* limits =
-      app.add_subcommand("limits", "teams' limits changed by files that are rolled out under trouble");
+  auto* limits = app.add_subcommand("limits", "teams' limits changed by files that are rolled out under trouble");
   common(limits);
   limits->callback([&] { play = change_limits; });
   auto* again = app.add_subcommand("restarts", "controllers ended in each step, and back within a fraction of a second");
--- a/rig/scale/hollow_fleet.cpp
+++ b/rig/scale/hollow_fleet.cpp
@@ -1,7 +1,6 @@
 #include "rig/scale/hollow_fleet.hpp"
 
-#include <utility>
-
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,11 +11,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-
-#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <utility>
 
 #include "rig/checker.hpp"
 #include "rig/state_service.hpp"
@@ -37,7 +35,9 @@
 constexpr double kAfterFailure = 1;              // seconds
 constexpr double kRunSpread = 0.5;               // a task runs its job's time, give or take this share
 
-auto ignoring(boost::system::error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
+auto ignoring(boost::system::error_code& ec) {
+  return asio::redirect_error(asio::use_awaitable, ec);
+}
 
 std::chrono::steady_clock::time_point at(double steady_s) {
   return std::chrono::steady_clock::time_point(
@@ -81,8 +81,12 @@
   };
 
   Worker(HollowFleet& fleet, asio::io_context& context, const Description& description, unsigned seed)
-      : fleet(fleet), machine(description), acceptor(context, endpoint_of(description.address)), wake(context),
-        stream(context), random(seed) {
+      : fleet(fleet),
+        machine(description),
+        acceptor(context, endpoint_of(description.address)),
+        wake(context),
+        stream(context),
+        random(seed) {
     // Workers of a running fleet do not report in step.
     next_report = steady_now() + std::uniform_real_distribution<double>(0, times().report)(random);
     lease_until = steady_now() + times().lease;
@@ -145,8 +149,10 @@
       if (verb == "run") {
         if (it == pieces.end()) run(name, attempt, now);
       } else if (it != pieces.end() && it->second.attempt == attempt) {
-        if (verb == "reap" && it->second.exited) pieces.erase(it);
-        else if (verb == "kill" && !it->second.exited) finish(it->second, "halted", now);
+        if (verb == "reap" && it->second.exited)
+          pieces.erase(it);
+        else if (verb == "kill" && !it->second.exited)
+          finish(it->second, "halted", now);
       }
     }
   }
@@ -177,15 +183,17 @@
   // ---- what it says
 
   std::string report() {
-    std::string out = R"({"host":")" + machine.name + R"(","address":")" + machine.address +
-                      R"(","hostKind":"big","yard":")" + machine.zone + R"(","loaners":false,"tenure":)" +
-                      std::to_string(tenure) + ",\"serial\":" + std::to_string(++serial) + ",\"epoch\":" + std::to_string(epoch) +
-                      R"(,"recallS":null,"pieces":[)";
+    std::string out = R"({"host":")" + machine.name + R"(","address":")" + machine.address + R"(","hostKind":"big","yard":")" +
+                      machine.zone + R"(","loaners":false,"tenure":)" + std::to_string(tenure) + ",\"serial\":" + std::to_string(++serial) +
+                      ",\"epoch\":" + std::to_string(epoch) + R"(,"recallS":null,"pieces":[)";
     const char* separator = "";
     for (const auto& [name, p] : pieces) {
       out += separator;
       out += "{\"piece\":\"" + name + "\",\"try\":" + std::to_string(p.attempt) + ",\"status\":\"" +
-             (p.exited ? "exited" : p.on ? "running" : "pulling") + "\"";
+             (p.exited ? "exited"
+              : p.on   ? "running"
+                       : "pulling") +
+             "\"";
       if (p.exited) out += std::string(",\"cause\":\"") + p.cause + "\"";
       out += "}";
       separator = ",";
@@ -233,8 +241,10 @@
     ++fleet.counters_.answers;
     fleet.counters_.answer_bytes += response.body().size();
     const auto body = json::parse(response.body(), nullptr, false);
-    if (response.result_int() == 200) take_answer(body, of_session, sent_at);
-    else follow(response.result_int(), body);
+    if (response.result_int() == 200)
+      take_answer(body, of_session, sent_at);
+    else
+      follow(response.result_int(), body);
   }
   void take_answer(const json& body, std::uint64_t of_session, double sent_at) {
     const auto answer_epoch = body.is_object() ? body.value("epoch", std::uint64_t{0}) : 0;
--- a/rig/scale/hollow_fleet.hpp
+++ b/rig/scale/hollow_fleet.hpp
@@ -39,8 +39,8 @@
 
 // Counted since the start, over all workers.
 struct FleetCounters {
-  std::atomic<std::uint64_t> reports{0}, report_bytes{0}, answers{0}, answer_bytes{0}, redirects{0}, failed_reports{0},
-      commands{0}, command_bytes{0}, starts{0}, ends{0}, leases_over{0}, connects{0};
+  std::atomic<std::uint64_t> reports{0}, report_bytes{0}, answers{0}, answer_bytes{0}, redirects{0}, failed_reports{0}, commands{0},
+      command_bytes{0}, starts{0}, ends{0}, leases_over{0}, connects{0};
   std::atomic<std::int64_t> running{0};
 };
 
--- a/rig/scale/main.cpp
+++ b/rig/scale/main.cpp
@@ -24,7 +24,8 @@
   app.add_option("--ramp", options.ramp_s, "seconds at most until the tasks run")->check(CLI::Range(1.0, 600.0))->capture_default_str();
   app.add_option("--seconds", options.measure_s, "that are measured")->check(CLI::Range(1.0, 600.0))->capture_default_str();
   app.add_option("--write-rps", options.state_write_rps, "changes a second that the state service takes")
-      ->check(CLI::Range(1.0, 100000.0))->capture_default_str();
+      ->check(CLI::Range(1.0, 100000.0))
+      ->capture_default_str();
   app.add_option("--sockets", options.max_sockets, "that a controller may have")->check(CLI::Range(100, 100000))->capture_default_str();
   app.add_option("--trouble", options.trouble, "leader-ends, silence or reconnect, as the measurement begins")
       ->check(CLI::IsMember({"leader-ends", "silence", "reconnect"}));
--- a/rig/scale/scale_run.cpp
+++ b/rig/scale/scale_run.cpp
@@ -26,19 +26,23 @@
 namespace {
 
 constexpr double kMachineCores = 64;
-constexpr double kTick = 0.1;               // seconds
-constexpr double kSilence = 10;             // seconds
+constexpr double kTick = 0.1;    // seconds
+constexpr double kSilence = 10;  // seconds
 constexpr double kSilentShare = 0.1;
-constexpr double kEnoughRunning = 0.95;     // of the tasks that are to run
-constexpr std::size_t kPage = 500;          // machines in an answer of the cloud
+constexpr double kEnoughRunning = 0.95;  // of the tasks that are to run
+constexpr std::size_t kPage = 500;       // machines in an answer of the cloud
 constexpr std::size_t kSubmitters = 4;
 constexpr std::size_t kFirstJob = 1000;
 const std::vector<std::string> kZones = {"zone-a", "zone-b"};
 const std::vector<std::string> kTroubles = {"", "leader-ends", "silence", "reconnect"};
 
-void wait(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
+void wait(double seconds) {
+  std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
 
-std::string team_name(std::size_t i) { return "team-" + std::to_string(i); }
+std::string team_name(std::size_t i) {
+  return "team-" + std::to_string(i);
+}
 
 json quantiles(std::vector<double> values) {
   if (values.empty()) return json::object();
@@ -136,7 +140,9 @@
       });
   }
   [[nodiscard]] std::size_t tasks_wanted() const { return options_.running ? options_.running : options_.workers * 20; }
-  [[nodiscard]] double starts_wanted() const { return options_.starts > 0 ? options_.starts : 0.28 * static_cast<double>(options_.workers); }
+  [[nodiscard]] double starts_wanted() const {
+    return options_.starts > 0 ? options_.starts : 0.28 * static_cast<double>(options_.workers);
+  }
 
   HollowFleet& fleet() { return *fleet_; }
   Checker& checker() { return checker_; }
@@ -162,12 +168,14 @@
       if (k != i)
         out << "[[peers]]\nlabel = \"host-" << k << "\"\nsite = \"" << kZones[k % kZones.size()] << "\"\naddr = \"" << peers_[k] << "\"\n";
     out << "[endpoints]\ncloud = \"" << cloud_address_ << "\"\nstate = \"" << const_cast<testing_::StateService&>(state_).door(i).address
-        << "\"\n[deployment]\ncount = " << addresses_.size() << "\nzones = [\"" << kZones[0] << "\", \"" << kZones[1] << "\"]\nskew_ms = 5\n";
+        << "\"\n[deployment]\ncount = " << addresses_.size() << "\nzones = [\"" << kZones[0] << "\", \"" << kZones[1]
+        << "\"]\nskew_ms = 5\n";
     for (std::size_t t = 0; t < options_.teams; ++t)
       out << "[[deployment.teams]]\nname = \"" << team_name(t) << "\"\ncpus = 1\ncpus_max = 1000000\n";
     out << "[deployment.workers]\nreport_s = " << options_.report_s << "\nlease_s = " << options_.lease_s
         << "\ngang_wait_s = 30\ngang_peer_s = 4\ncancel_s = " << options_.cancel_s << "\n[deployment.state]\nrps = " << options_.state_rps
-        << "\nwrite_rps = " << options_.state_write_rps << "\nvalue_kb = " << options_.state_value_kb << "\ntxn_ops = " << options_.state_txn_ops
+        << "\nwrite_rps = " << options_.state_write_rps << "\nvalue_kb = " << options_.state_value_kb
+        << "\ntxn_ops = " << options_.state_txn_ops
         << "\n[deployment.cloud]\nrps = 4\nlist_lag_s = 3\n[deployment.limits]\ncpu = 1\nmemory_mb = " << options_.max_memory_mb
         << "\nmax_sockets = " << options_.max_sockets << "\n";
     return out.str();
@@ -192,10 +200,16 @@
     const std::string from(found == std::string_view::npos ? "" : call.target.substr(found + parameter.size()));
     json hosts = json::array();
     const auto& machines = fleet_->machines();
-    auto it = std::upper_bound(machines.begin(), machines.end(), from, [](const std::string& name, const auto& m) { return name < m.name; });
+    auto it =
+        std::upper_bound(machines.begin(), machines.end(), from, [](const std::string& name, const auto& m) { return name < m.name; });
     for (; it != machines.end() && hosts.size() < kPage; ++it)
-      hosts.push_back({{"uid", it->name}, {"address", it->address}, {"hostKind", "big"}, {"yard", it->zone}, {"loaners", false},
-                       {"status", "running"}, {"heldS", 100}});
+      hosts.push_back({{"uid", it->name},
+                       {"address", it->address},
+                       {"hostKind", "big"},
+                       {"yard", it->zone},
+                       {"loaners", false},
+                       {"status", "running"},
+                       {"heldS", 100}});
     return {200, json{{"hosts", hosts}, {"truncated", it != machines.end()}}.dump()};
   }
   // `ramp`: of the load that is there at the start; its tasks have run for some of their time already.
@@ -211,12 +225,12 @@
     spec.run_s = run_s * share_left;
     jobs_.add(spec.uid, {spec.run_s, steady_now(), spec.cores});
     checker_.submitted(spec, steady_now());
-    const auto body = json{{"uid", spec.uid},     {"jobClass", "array"},       {"owner", spec.owner}, {"shape", spec.shape},
-                           {"rank", "standard"},  {"pieces", spec.pieces},     {"cores", spec.cores}, {"accelerators", 0},
-                           {"ramGb", 1},          {"bundle", "i"},             {"pullGb", 1},         {"hostKinds", nullptr},
-                           {"yard", nullptr},     {"oneZone", false},          {"spread", false},     {"loaners", false},
-                           {"expectedS", run_s},  {"snapshotEveryS", 0},       {"snapshotS", 0},      {"dueS", nullptr}}
-                          .dump();
+    const auto body =
+        json{{"uid", spec.uid},       {"jobClass", "array"},  {"owner", spec.owner}, {"shape", spec.shape}, {"rank", "standard"},
+             {"pieces", spec.pieces}, {"cores", spec.cores},  {"accelerators", 0},   {"ramGb", 1},          {"bundle", "i"},
+             {"pullGb", 1},           {"hostKinds", nullptr}, {"yard", nullptr},     {"oneZone", false},    {"spread", false},
+             {"loaners", false},      {"expectedS", run_s},   {"snapshotEveryS", 0}, {"snapshotS", 0},      {"dueS", nullptr}}
+            .dump();
     const double asked = steady_now();
     while (!stop.stop_requested()) {
       const auto answer = client.post("/v1/jobs", body, 5);
@@ -263,10 +277,12 @@
     out.metrics.push_back(cluster.metrics(i));
   }
   const FleetCounters& c = cluster.fleet().counters();
-  out.fleet = {{"reports", c.reports},         {"report_bytes", c.report_bytes}, {"answers", c.answers},
-               {"answer_bytes", c.answer_bytes}, {"redirects", c.redirects},     {"failed_reports", c.failed_reports},
-               {"commands", c.commands},       {"command_bytes", c.command_bytes}, {"starts", c.starts},
-               {"ends", c.ends},               {"leases_over", c.leases_over},   {"connects", c.connects}};
+  out.fleet = {{"reports", c.reports},         {"report_bytes", c.report_bytes},
+               {"answers", c.answers},         {"answer_bytes", c.answer_bytes},
+               {"redirects", c.redirects},     {"failed_reports", c.failed_reports},
+               {"commands", c.commands},       {"command_bytes", c.command_bytes},
+               {"starts", c.starts},           {"ends", c.ends},
+               {"leases_over", c.leases_over}, {"connects", c.connects}};
   return out;
 }
 
@@ -331,17 +347,28 @@
   wait(options.measure_s);
   const auto after = take_snapshot(cluster, options.controllers);
   tell(std::to_string(running()) + " tasks run at the end");
-  json out{{"label", options.label},       {"workers", options.workers}, {"controllers", options.controllers},
-           {"teams", options.teams},       {"seed", options.seed},       {"trouble", options.trouble},
-           {"report_s", options.report_s}, {"flags", options.flags},     {"tasks_wanted", cluster.tasks_wanted()},
-           {"starts_wanted", cluster.starts_wanted()}, {"ramp_reached", reached}, {"ramp_s", ramped},
-           {"seconds", after.at - before.at}, {"running", running()}};
+  json out{{"label", options.label},
+           {"workers", options.workers},
+           {"controllers", options.controllers},
+           {"teams", options.teams},
+           {"seed", options.seed},
+           {"trouble", options.trouble},
+           {"report_s", options.report_s},
+           {"flags", options.flags},
+           {"tasks_wanted", cluster.tasks_wanted()},
+           {"starts_wanted", cluster.starts_wanted()},
+           {"ramp_reached", reached},
+           {"ramp_s", ramped},
+           {"seconds", after.at - before.at},
+           {"running", running()}};
   const auto leader_after = cluster.leader();
   out["leader_changed"] = leader != leader_after;
   for (std::size_t i = 0; i < options.controllers; ++i) {
     auto costs = process_costs(before, after, i);
-    if (i == leader_after) out["leader"] = std::move(costs);
-    else out["followers"].push_back(std::move(costs));
+    if (i == leader_after)
+      out["leader"] = std::move(costs);
+    else
+      out["followers"].push_back(std::move(costs));
   }
   for (const auto& [name, value] : after.fleet) out["fleet"][name + "_per_s"] = (value - before.fleet.at(name)) / (after.at - before.at);
   out["start_wait_s"] = quantiles(cluster.fleet().take_waits());
--- a/rig/scale/scale_run.hpp
+++ b/rig/scale/scale_run.hpp
@@ -2,23 +2,22 @@
 // each process. Time is real.
 #pragma once
 #include <cstdint>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 namespace thistle::rig {
 
 struct ScaleOptions {
-  std::string program;  // the controllers' program
+  std::string program;             // the controllers' program
   std::vector<std::string> flags;  // for each controller
-  std::string logs;     // directory for what the controllers write; empty: nowhere
-  std::string label;    // told in the result
+  std::string logs;                // directory for what the controllers write; empty: nowhere
+  std::string label;               // told in the result
   std::size_t controllers = 3, workers = 500, threads = 2, teams = 20;
-  std::size_t running = 0;    // tasks; 0: twenty for each worker
-  double starts = 0;          // a second; 0: 0.28 for each worker
-  std::size_t pieces = 40;    // tasks of a job
-  double ramp_s = 60;         // at most, until the tasks run
+  std::size_t running = 0;  // tasks; 0: twenty for each worker
+  double starts = 0;        // a second; 0: 0.28 for each worker
+  std::size_t pieces = 40;  // tasks of a job
+  double ramp_s = 60;       // at most, until the tasks run
   double settle_s = 5, measure_s = 20;
   double report_s = 3, lease_s = 22, cancel_s = 42;
   double state_rps = 2000, state_write_rps = 200, state_value_kb = 64;
--- a/rig/state_service.hpp
+++ b/rig/state_service.hpp
@@ -48,12 +48,12 @@
   struct Door {
     std::string address = free_address();
     std::atomic<bool> refuses{false};
-    std::atomic<bool> frozen{false};      // requests are executed, and the answers wait until this is over
-    std::atomic<double> loses{0};         // share of transactions that are executed, and whose answer never comes
-    std::atomic<double> late{0};          // share of transactions that are executed after their sender gave up
-    std::atomic<double> late_most{1.8};   // seconds until these are executed, 1.8 at least: after newer ones
-    std::atomic<double> slow{0};          // seconds that each transaction waits before it is executed
-    std::atomic<double> repeats{0};       // share of transactions that are executed once more, later
+    std::atomic<bool> frozen{false};     // requests are executed, and the answers wait until this is over
+    std::atomic<double> loses{0};        // share of transactions that are executed, and whose answer never comes
+    std::atomic<double> late{0};         // share of transactions that are executed after their sender gave up
+    std::atomic<double> late_most{1.8};  // seconds until these are executed, 1.8 at least: after newer ones
+    std::atomic<double> slow{0};         // seconds that each transaction waits before it is executed
+    std::atomic<double> repeats{0};      // share of transactions that are executed once more, later
     // So many requests more (watches and renewals aside), and at the next its controller is to end: the request is executed
     // or not, and nobody answers it. Below 0: none.
     std::atomic<int> fuse{-1};
@@ -227,8 +227,7 @@
     }
     if (!failed.empty()) return {409, json{{"failed", failed}, {"ledgerRev", rev_}}.dump()};
     for (const auto& a : txn.value("apply", json::array()))
-      if (a.contains("hold") && !holds_.contains(a.at("hold").get<std::uint64_t>()))
-        return {400, R"({"error":"no such lease"})"};
+      if (a.contains("hold") && !holds_.contains(a.at("hold").get<std::uint64_t>())) return {400, R"({"error":"no such lease"})"};
     ++rev_;
     for (const auto& a : txn.value("apply", json::array())) {
       if (a.contains("remove")) {
@@ -293,12 +292,10 @@
       const auto from = std::stoull(query(target, "from"));
       const double until = steady_now() + std::stod(query(target, "blockMs")) / 1000;
       const auto changed = [&] {
-        return std::any_of(changes_.begin(), changes_.end(),
-                           [&](const auto& c) { return c.second > from && c.first.starts_with(prefix); });
+        return std::any_of(changes_.begin(), changes_.end(), [&](const auto& c) { return c.second > from && c.first.starts_with(prefix); });
       };
       if (door.refuses && until <= steady_now()) return {503, R"({"error":"trouble"})"};
-      while (!ending_ && steady_now() < until && (door.refuses || !changed()))
-        changed_.wait_for(lock, std::chrono::milliseconds(20));
+      while (!ending_ && steady_now() < until && (door.refuses || !changed())) changed_.wait_for(lock, std::chrono::milliseconds(20));
       json events = json::array();
       for (const auto& [key, rev] : changes_) {
         if (rev <= from || !key.starts_with(prefix)) continue;
--- a/rig/worker.cpp
+++ b/rig/worker.cpp
@@ -13,14 +13,9 @@
 constexpr double kTick = 0.1;
 }  // namespace
 
-Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers,
-               Checker& checker, Times times, unsigned seed)
-    : name_(std::move(name)),
-      zone_(std::move(zone)),
-      controllers_(controllers),
-      checker_(checker),
-      times_(times),
-      random_(seed) {
+Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker, Times times,
+               unsigned seed)
+    : name_(std::move(name)), zone_(std::move(zone)), controllers_(controllers), checker_(checker), times_(times), random_(seed) {
   lease_until_ = steady_now() + times_.lease;
   server_ = std::make_unique<HttpServer>(address_, 20, [this](const HttpCall& c) { return on_call(c); });
   thread_ = std::jthread([this](std::stop_token stop) { live(stop); });
@@ -86,11 +81,7 @@
       const auto slash = name.find('/');
       const auto uid = name.substr(0, slash);
       const auto spec = checker_.spec_of(uid);
-      Piece piece{uid,     static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1))),
-                  attempt, now,
-                  0,       false,
-                  false,   false,
-                  ""};
+      Piece piece{uid, static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1))), attempt, now, 0, false, false, false, ""};
       double used = 0;
       for (const auto& [n, p] : pieces_)
         if (const auto other = checker_.spec_of(p.uid); other && !p.exited) used += other->cores;
@@ -98,8 +89,7 @@
         piece.run_s = spec->run_s;
         piece.service = spec->shape == "service";
       }
-      if (!spec || used + spec->cores > kMachineCores)
-        piece.exited = true, piece.cause = spec ? "no_room" : "unknown";
+      if (!spec || used + spec->cores > kMachineCores) piece.exited = true, piece.cause = spec ? "no_room" : "unknown";
       pieces_.emplace(name, piece);
       changed_ = true;
     } else if (it != pieces_.end() && it->second.attempt == attempt) {
@@ -154,17 +144,12 @@
 std::string Worker::report() {
   json pieces = json::array();
   for (const auto& [name, p] : pieces_) {
-    json j{{"piece", name},
-           {"try", p.attempt},
-           {"status", p.exited ? "exited"
-                      : p.on   ? "running"
-                               : "pulling"}};
+    json j{{"piece", name}, {"try", p.attempt}, {"status", p.exited ? "exited" : p.on ? "running" : "pulling"}};
     if (p.exited) j["cause"] = p.cause;
     pieces.push_back(std::move(j));
   }
-  return json{{"host", name_},      {"address", address_},        {"hostKind", "big"},   {"yard", zone_},
-              {"loaners", false},   {"tenure", tenure_},          {"serial", ++serial_}, {"epoch", epoch_},
-              {"recallS", nullptr}, {"pieces", std::move(pieces)}}
+  return json{{"host", name_},     {"address", address_}, {"hostKind", "big"}, {"yard", zone_},      {"loaners", false},
+              {"tenure", tenure_}, {"serial", ++serial_}, {"epoch", epoch_},   {"recallS", nullptr}, {"pieces", std::move(pieces)}}
       .dump();
 }
 
--- a/rig/worker.hpp
+++ b/rig/worker.hpp
@@ -6,13 +6,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "rig/checker.hpp"
 #include "rig/state_service.hpp"
 #include "transport/http.hpp"
@@ -29,8 +28,7 @@
 // One machine: holds tasks as commanded, reports them, and forgets them with its lease.
 class Worker {
  public:
-  Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker,
-         Times times, unsigned seed);
+  Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker, Times times, unsigned seed);
   [[nodiscard]] const std::string& name() const { return name_; }
   [[nodiscard]] const std::string& zone() const { return zone_; }
   [[nodiscard]] const std::string& address() const { return address_; }
--- a/src/bookkeeping/accounts.cpp
+++ b/src/bookkeeping/accounts.cpp
@@ -15,11 +15,9 @@
 
 TeamTerms narrower(const TeamTerms& a, const TeamTerms& b) {
   TeamTerms out;
-  out.limit = {lower_limit(a.limit.cores, b.limit.cores),
-               lower_limit(a.limit.accelerators, b.limit.accelerators), 0};
-  out.guarantee = {
-      within(std::max(a.guarantee.cores, b.guarantee.cores), out.limit.cores),
-      within(std::max(a.guarantee.accelerators, b.guarantee.accelerators), out.limit.accelerators), 0};
+  out.limit = {lower_limit(a.limit.cores, b.limit.cores), lower_limit(a.limit.accelerators, b.limit.accelerators), 0};
+  out.guarantee = {within(std::max(a.guarantee.cores, b.guarantee.cores), out.limit.cores),
+                   within(std::max(a.guarantee.accelerators, b.guarantee.accelerators), out.limit.accelerators), 0};
   return out;
 }
 
@@ -42,9 +40,8 @@
   team.record = record;
   team.unknown = !record.agreed && !record.proposed;
   const TeamTerms none;
-  const TeamTerms terms = record.agreed && record.proposed
-                              ? narrower(*record.agreed, *record.proposed)
-                              : record.agreed.value_or(record.proposed.value_or(none));
+  const TeamTerms terms = record.agreed && record.proposed ? narrower(*record.agreed, *record.proposed)
+                                                           : record.agreed.value_or(record.proposed.value_or(none));
   team.guarantee = terms.guarantee;
   team.limit = terms.limit;
 }
@@ -69,8 +66,8 @@
   // Below nothing: also a task that needs none of what is limited does not fit.
   if (t.unknown) return {-1, -1, -1};
   const auto of = [&](double limit, double used) { return limit > 0 ? limit - used : unlimited; };
-  return {of(t.limit.cores, t.used.cores + t.unplaced.cores),
-          of(t.limit.accelerators, t.used.accelerators + t.unplaced.accelerators), unlimited};
+  return {of(t.limit.cores, t.used.cores + t.unplaced.cores), of(t.limit.accelerators, t.used.accelerators + t.unplaced.accelerators),
+          unlimited};
 }
 
 std::optional<std::string> Accounts::changing() const {
--- a/src/bookkeeping/accounts.hpp
+++ b/src/bookkeeping/accounts.hpp
@@ -13,9 +13,9 @@
 
 struct Team {
   std::string name;
-  Resources guarantee, limit;  // in force; 0: none
-  Resources used = {};         // by placed tasks, those in doubt of having started included
-  Resources unplaced = {};     // by tasks that workers report and the book places nowhere
+  Resources guarantee, limit;                       // in force; 0: none
+  Resources used = {};                              // by placed tasks, those in doubt of having started included
+  Resources unplaced = {};                          // by tasks that workers report and the book places nowhere
   std::optional<TeamRecord> record = std::nullopt;  // the ledger's terms
   bool unknown = false;                             // a job's owner that nobody has told terms of
 };
--- a/src/bookkeeping/agreement.cpp
+++ b/src/bookkeeping/agreement.cpp
@@ -13,8 +13,7 @@
   std::uint64_t digest = 1;
   for (const auto& [name, terms] : file) {
     digest = digest_with(digest, digest_of_text(name));
-    for (const double v :
-         {terms.guarantee.cores, terms.guarantee.accelerators, terms.limit.cores, terms.limit.accelerators})
+    for (const double v : {terms.guarantee.cores, terms.guarantee.accelerators, terms.limit.cores, terms.limit.accelerators})
       digest = digest_with(digest, std::bit_cast<std::uint64_t>(v));
   }
   return digest == 0 ? 1 : digest;
@@ -38,8 +37,7 @@
     const auto it = file->find(team);
     out.known.push_back(it == file->end() ? std::nullopt : std::optional(it->second));
   }
-  out.all_same =
-      std::all_of(out.known.begin(), out.known.end(), [&](const auto& t) { return t == out.known.front(); });
+  out.all_same = std::all_of(out.known.begin(), out.known.end(), [&](const auto& t) { return t == out.known.front(); });
   return out;
 }
 
--- a/src/bookkeeping/blame.cpp
+++ b/src/bookkeeping/blame.cpp
@@ -5,24 +5,24 @@
 namespace thistle {
 
 namespace {
-constexpr std::size_t kIndependent = 2;      // machines with nothing else against them that convict a job
-constexpr std::size_t kAnyMachines = 3;      // machines of any kind that do
-constexpr unsigned kFailuresInARow = 4;      // waves of failures on however few machines that do
-constexpr double kWave = 1.0;                // tasks that fail within this many seconds are one wave
+constexpr std::size_t kIndependent = 2;  // machines with nothing else against them that convict a job
+constexpr std::size_t kAnyMachines = 3;  // machines of any kind that do
+constexpr unsigned kFailuresInARow = 4;  // waves of failures on however few machines that do
+constexpr double kWave = 1.0;            // tasks that fail within this many seconds are one wave
 constexpr std::size_t kJobsAgainstHost = 2;
 constexpr double kFirstPause = 2.0, kLongestPause = 60.0;
 constexpr unsigned kMostDoublings = 5;
 constexpr double kAsideAtFirst = 30.0;
 constexpr double kAvoidFor = 60.0;
-constexpr std::size_t kMostRemembered = 8;   // machines remembered of a job
+constexpr std::size_t kMostRemembered = 8;  // machines remembered of a job
 }  // namespace
 
 void Blame::failed(JobIdx j, HostIdx h, double at, bool sound) {
   auto& job = jobs_[j];
   job.failed_on[h] = at;
   if (job.failed_on.size() > kMostRemembered) {
-    const auto oldest = std::min_element(job.failed_on.begin(), job.failed_on.end(),
-                                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto oldest =
+        std::min_element(job.failed_on.begin(), job.failed_on.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     job.failed_on.erase(oldest);
   }
   if (sound) {
@@ -43,8 +43,7 @@
     const auto it = hosts_.find(f.first);
     return it == hosts_.end() || it->second.failed.size() - it->second.failed.count(j) == 0;
   });
-  if (static_cast<std::size_t>(independent) >= kIndependent || job.failed_on.size() >= kAnyMachines ||
-      job.failures >= kFailuresInARow) {
+  if (static_cast<std::size_t>(independent) >= kIndependent || job.failed_on.size() >= kAnyMachines || job.failures >= kFailuresInARow) {
     job.suspect = true;
     job.not_before = at + kFirstPause;
     news_.push_back({News::What::suspected, j, {}, job.failed_on.size(), job.not_before});
@@ -129,6 +128,8 @@
   return it != hosts_.end() && it->second.aside_until > wall;
 }
 
-bool Blame::given_up(HostIdx h, double wall) const { return set_aside(h, wall) && hosts_.at(h).times_aside >= 2; }
+bool Blame::given_up(HostIdx h, double wall) const {
+  return set_aside(h, wall) && hosts_.at(h).times_aside >= 2;
+}
 
 }  // namespace thistle
--- a/src/bookkeeping/blame.hpp
+++ b/src/bookkeeping/blame.hpp
@@ -51,7 +51,7 @@
     unsigned failures = 0;                // waves of them in a row, without a success
     double last_at = -1e9;
     bool suspect = false;
-    unsigned probes = 0;                  // tries that failed since it is suspected
+    unsigned probes = 0;  // tries that failed since it is suspected
     double not_before = 0;
   };
   struct HostEvidence {
--- a/src/bookkeeping/book.cpp
+++ b/src/bookkeeping/book.cpp
@@ -35,8 +35,7 @@
   for (std::uint32_t t = 0; t < counted.size(); ++t) {
     const Team& team = accounts_.team(TeamIdx{t});
     const auto differs = [](double a, double b) { return std::abs(a - b) > slack; };
-    if (differs(team.used.cores, counted[t].cores) || differs(team.used.accelerators, counted[t].accelerators))
-      out.push_back(team.name);
+    if (differs(team.used.cores, counted[t].cores) || differs(team.used.accelerators, counted[t].accelerators)) out.push_back(team.name);
     accounts_.at_least(TeamIdx{t}, counted[t]);
   }
   return out;
@@ -47,8 +46,7 @@
   for (std::uint32_t i = 0; i < hosts_.size(); ++i) {
     const Host& host = hosts_[i];
     if (host.lost || host.gone || host.pieces.empty()) continue;
-    const auto held = std::count_if(host.pieces.begin(), host.pieces.end(),
-                                    [](const SeenPiece& s) { return s.phase != Phase::exited; });
+    const auto held = std::count_if(host.pieces.begin(), host.pieces.end(), [](const SeenPiece& s) { return s.phase != Phase::exited; });
     // Not what it held in an earlier session, or what is on its way to be known as off: beside these, what it holds now would not count.
     const auto seen = std::count_if(host.placed.begin(), host.placed.end(), [&](const PlacedPiece& p) {
       return p.at->seen && !p.at->closing && p.at->tenure == host.tenure && p.at->phase != Phase::exited;
@@ -85,8 +83,7 @@
   return it->second;
 }
 
-void Book::describe(HostIdx h, const std::string& address, const std::string& kind, const std::string& zone,
-                    bool loaner) {
+void Book::describe(HostIdx h, const std::string& address, const std::string& kind, const std::string& zone, bool loaner) {
   Host& host = hosts_[h.v];
   if (!address.empty()) host.address = address;
   host.kind = kinds_.intern(kind);
@@ -132,18 +129,15 @@
   if (!team.valid() || !accounts_.open(team)) return "owner: unknown team";
   bool fits = false;
   for (const auto& f : flavors_) {
-    const bool named = s.host_kinds.empty() ||
-                       std::find(s.host_kinds.begin(), s.host_kinds.end(), f.name) != s.host_kinds.end();
-    const bool there = s.yard.empty() || f.yards.empty() ||
-                       std::find(f.yards.begin(), f.yards.end(), s.yard) != f.yards.end();
+    const bool named = s.host_kinds.empty() || std::find(s.host_kinds.begin(), s.host_kinds.end(), f.name) != s.host_kinds.end();
+    const bool there = s.yard.empty() || f.yards.empty() || std::find(f.yards.begin(), f.yards.end(), s.yard) != f.yards.end();
     if (named && there && s.need.fits(f.room)) fits = true;
   }
   if (!fits) return "hostKinds: a task fits no allowed machine type";
   const Resources all = s.need * (s.shape == Shape::batch ? 1.0 : s.pieces);
   const Resources& limit = accounts_.team(team).limit;
   if (limit.cores > 0 && all.cores > limit.cores + 1e-6) return "cores: more than the team's limit";
-  if (limit.accelerators > 0 && all.accelerators > limit.accelerators + 1e-6)
-    return "accelerators: more than the team's limit";
+  if (limit.accelerators > 0 && all.accelerators > limit.accelerators + 1e-6) return "accelerators: more than the team's limit";
   return std::nullopt;
 }
 
@@ -217,9 +211,7 @@
   using State = Pipelines::Named::State;
   if (!j.valid()) return {};
   const Job& job = jobs_[j.v];
-  const auto state = job.status == JobStatus::done      ? State::done
-                     : job.status == JobStatus::aborted ? State::cancelled
-                                                        : State::open;
+  const auto state = job.status == JobStatus::done ? State::done : job.status == JobStatus::aborted ? State::cancelled : State::open;
   return {state, j, 0};
 }
 
--- a/src/bookkeeping/book.hpp
+++ b/src/bookkeeping/book.hpp
@@ -44,10 +44,10 @@
   double draw = 0, accepted_at = 0;
   // Wall seconds from which its waits count: its acceptance, or the end of the last job that it waited for.
   double since = 0;
-  Urgency urgency;     // its own, or that of a job that needs it
-  bool held = false;   // waits for other jobs: it is not among the live ones
+  Urgency urgency;    // its own, or that of a job that needs it
+  bool held = false;  // waits for other jobs: it is not among the live ones
   bool service = false;
-  std::uint32_t live_at = UINT32_MAX;  // place among the live ones
+  std::uint32_t live_at = UINT32_MAX;    // place among the live ones
   JobStatus status = JobStatus::queued;  // queued stands for any job that has not ended
   std::uint64_t attempts = 0;
   std::vector<TaskState> tasks;
@@ -71,10 +71,10 @@
 };
 
 struct SeenPiece {
-  PieceRef ref;           // job not valid: not in the book
+  PieceRef ref;  // job not valid: not in the book
   std::uint64_t attempt = 0;
   Phase phase = Phase::pulling;
-  std::string uid;        // kept for pieces not in the book
+  std::string uid;  // kept for pieces not in the book
 };
 
 struct Host {
@@ -83,42 +83,41 @@
   ZoneIdx zone;
   bool loaner = false;
   std::uint64_t tenure = 0, serial = 0, epoch_seen = 0;
-  bool reported = false;         // has reported to this leader
+  bool reported = false;            // has reported to this leader
   std::uint64_t report_serial = 0;  // of its newest report, answers to commands aside
   std::uint64_t run_answered = 0;   // of the latest report whose answer told it to run something; 0: none in this tenure
-  double newest_at = 0;          // steady seconds: when its newest message came
-  double reported_at = 0;        // steady seconds: the same, of messages that are a sign of life (fleet/dealings)
-  double tenure_at = 0;          // steady seconds: when its present tenure was first heard of
-  double deaf_since = 0;         // steady seconds: since then answers do not reach it; 0: they do (fleet/deafness)
-  std::uint64_t deaf_epoch = 0;  // highest token that it had seen then
-  double direct_at = 0;          // steady seconds: heard by this controller itself, not by way of another
-  bool commands_fail = false;    // the latest direct command got no answer
-  double answered_at = 0;        // steady seconds: the latest report of it that this leader answered
+  double newest_at = 0;             // steady seconds: when its newest message came
+  double reported_at = 0;           // steady seconds: the same, of messages that are a sign of life (fleet/dealings)
+  double tenure_at = 0;             // steady seconds: when its present tenure was first heard of
+  double deaf_since = 0;            // steady seconds: since then answers do not reach it; 0: they do (fleet/deafness)
+  std::uint64_t deaf_epoch = 0;     // highest token that it had seen then
+  double direct_at = 0;             // steady seconds: heard by this controller itself, not by way of another
+  bool commands_fail = false;       // the latest direct command got no answer
+  double answered_at = 0;           // steady seconds: the latest report of it that this leader answered
   // Steady seconds: when it, in its present tenure, was first known to have seen this leader's epoch.
   double fenced_at = 0;
-  bool lost = false;             // its lease is over; not used until it reports again
-  bool gone = false;             // released or taken: it does not come back
+  bool lost = false;                // its lease is over; not used until it reports again
+  bool gone = false;                // released or taken: it does not come back
   std::optional<double> recall_at;  // steady seconds
   std::vector<PlacedPiece> placed;
-  Resources used;                // by placed tasks
-  std::vector<SeenPiece> pieces; // the newest report's, sorted by ref
+  Resources used;                                   // by placed tasks
+  std::vector<SeenPiece> pieces;                    // the newest report's, sorted by ref
   std::vector<std::pair<ImageIdx, double>> images;  // most recently used last
   // Direct commands with a start that were sent and not answered: until the worker is seen under a higher epoch,
   // they may yet be executed.
   std::uint64_t in_flight_epoch = 0, doubt_epoch = 0;
-  double no_room_until = 0;      // steady seconds
+  double no_room_until = 0;  // steady seconds
   // From the cloud's list:
   bool listed = false;
   Machine::Status status = Machine::Status::running;
   double held_s = 0, listed_at = 0;  // listed_at: steady seconds; 0: in no list yet
-  double rented_at = 0;          // steady seconds: when this leader was told that it is rented; 0: by another
-  double up_at = 0;              // steady seconds: when it was first listed as running without having reported
-  double idle_since = 0;         // steady seconds; 0: not idle
-  bool leaving = false;          // its release was asked for: nothing more is placed there
+  double rented_at = 0;              // steady seconds: when this leader was told that it is rented; 0: by another
+  double up_at = 0;                  // steady seconds: when it was first listed as running without having reported
+  double idle_since = 0;             // steady seconds; 0: not idle
+  bool leaving = false;              // its release was asked for: nothing more is placed there
 
   [[nodiscard]] bool clean(std::uint64_t epoch) const {
-    return in_flight_epoch == 0 && (doubt_epoch == 0 || epoch > doubt_epoch) &&
-           (run_answered == 0 || report_serial > run_answered);
+    return in_flight_epoch == 0 && (doubt_epoch == 0 || epoch > doubt_epoch) && (run_answered == 0 || report_serial > run_answered);
   }
 };
 
--- a/src/bookkeeping/largest.cpp
+++ b/src/bookkeeping/largest.cpp
@@ -5,11 +5,13 @@
 namespace thistle {
 
 namespace {
-constexpr std::size_t kLately = 64;  // jobs of a class
+constexpr std::size_t kLately = 64;   // jobs of a class
 constexpr double kLargeShare = 0.85;  // at or above this share of them
 }  // namespace
 
-double size_of(const Submission& s) { return s.need.cores * s.pieces; }
+double size_of(const Submission& s) {
+  return s.need.cores * s.pieces;
+}
 
 void Largest::note(ClassIdx c, double size) {
   if (classes_.size() <= c.v) classes_.resize(c.v + 1);
--- a/src/bookkeeping/pipelines.cpp
+++ b/src/bookkeeping/pipelines.cpp
@@ -19,8 +19,8 @@
   return it == nodes_.end() ? nullptr : &it->second;
 }
 
-void Pipelines::add(JobIdx job, const Urgency& own, double run_s, double accepted_at,
-                    const std::vector<std::string>& names, const std::vector<Named>& as_named, News& news) {
+void Pipelines::add(JobIdx job, const Urgency& own, double run_s, double accepted_at, const std::vector<std::string>& names,
+                    const std::vector<Named>& as_named, News& news) {
   assert(names.size() == as_named.size() && !nodes_.contains(job));
   Node& n = nodes_[job];
   n.own = own;
@@ -220,6 +220,8 @@
   const Node* n = find(job);
   return n ? n->wanted : Urgency{};
 }
-Pipelines::Counts Pipelines::counts() const { return {waiting_, unread_.size(), ready_, cancelled_}; }
+Pipelines::Counts Pipelines::counts() const {
+  return {waiting_, unread_.size(), ready_, cancelled_};
+}
 
 }  // namespace thistle
--- a/src/bookkeeping/pipelines.hpp
+++ b/src/bookkeeping/pipelines.hpp
@@ -63,8 +63,8 @@
   [[nodiscard]] Urgency wanted(JobIdx job) const;
 
   struct Counts {
-    std::size_t waiting = 0;      // jobs now
-    std::size_t unread_names = 0;  // names of no job that was read: 0 once the whole ledger was
+    std::size_t waiting = 0;                 // jobs now
+    std::size_t unread_names = 0;            // names of no job that was read: 0 once the whole ledger was
     std::uint64_t ready = 0, cancelled = 0;  // jobs that became ready, or were cancelled through another
   };
   [[nodiscard]] Counts counts() const;
@@ -77,9 +77,9 @@
     std::vector<JobIdx> dependents;  // not ended
     std::size_t unread = 0;          // names
     bool waits = false, ended = false;
-    double since = 0;                // ready at the earliest
+    double since = 0;  // ready at the earliest
     double done_at = 0, run_s = 0;
-    Urgency own, wanted;             // own: of those that name others
+    Urgency own, wanted;  // own: of those that name others
   };
   [[nodiscard]] const Node* find(JobIdx job) const;
   void link(JobIdx job, JobIdx need, News& news);
--- a/src/bookkeeping/served.hpp
+++ b/src/bookkeeping/served.hpp
@@ -17,17 +17,15 @@
   struct Figures {
     std::uint64_t accepted = 0, started = 0;  // jobs; started: its first task, or its gang
     std::uint64_t done = 0;
-    std::uint64_t due = 0, in_time = 0;          // of those done: with a deadline, and by it
-    std::uint64_t withdrawn_unstarted = 0;       // their users gave up before anything ran
+    std::uint64_t due = 0, in_time = 0;              // of those done: with a deadline, and by it
+    std::uint64_t withdrawn_unstarted = 0;           // their users gave up before anything ran
     std::uint64_t largest = 0, largest_in_time = 0;  // of the started: its largest, and those that began soon enough
-    double replica_s = 0, replica_up_s = 0;      // of services: seconds asked for, and running
+    double replica_s = 0, replica_up_s = 0;          // of services: seconds asked for, and running
     friend bool operator==(const Figures&, const Figures&) = default;
   };
   // Classes that `classes` does not name are counted together, as "other".
   explicit Served(std::set<std::string> classes) : classes_(std::move(classes)) {}
-  [[nodiscard]] std::string counted_as(const std::string& job_class) const {
-    return classes_.contains(job_class) ? job_class : "other";
-  }
+  [[nodiscard]] std::string counted_as(const std::string& job_class) const { return classes_.contains(job_class) ? job_class : "other"; }
 
   // This record of its own is in the ledger; `book` is as it is before it is applied, and `wall` seconds.
   void before(const Record& record, const Book& book);
--- a/src/bookkeeping/waiting.cpp
+++ b/src/bookkeeping/waiting.cpp
@@ -9,16 +9,11 @@
 
 const char* name_of(Waiting::For what) {
   switch (what) {
-    case Waiting::For::room:
-      return "room";
-    case Waiting::For::limit:
-      return "limit";
-    case Waiting::For::terms:
-      return "terms";
-    case Waiting::For::evidence:
-      return "evidence";
-    case Waiting::For::stopped:
-      return "stopped";
+    case Waiting::For::room: return "room";
+    case Waiting::For::limit: return "limit";
+    case Waiting::For::terms: return "terms";
+    case Waiting::For::evidence: return "evidence";
+    case Waiting::For::stopped: return "stopped";
   }
   return "";
 }
--- a/src/coordination/budget.cpp
+++ b/src/coordination/budget.cpp
@@ -30,14 +30,12 @@
   b.own = kDuties + peers;
   // Twice what a peer opens: it may have begun anew before the connections of its earlier process are known
   // to be dead.
-  b.peers = std::clamp<std::size_t>(2 * peers * (Budget::kCallsToAPeer + kBeats), 8,
-                                    std::max<std::size_t>(sockets / 16, 8));
+  b.peers = std::clamp<std::size_t>(2 * peers * (Budget::kCallsToAPeer + kBeats), 8, std::max<std::size_t>(sockets / 16, 8));
   b.senders = std::clamp<std::size_t>(std::min(threads, sockets) / 16, 4, 128);
   b.probes = std::clamp<std::size_t>(std::min(threads, sockets) / 32, 2, 64);
   const std::size_t rest = b.peers + 2 * Budget::kOver + b.senders + b.probes;
   const std::size_t sockets_left = left_of(sockets, own_sockets(peers) + rest, 0);
-  b.clients = std::min({sockets * 11 / 20, left_of(threads, b.own + rest, kFewestClients),
-                        std::max(sockets_left * 4 / 5, kFewestClients)});
+  b.clients = std::min({sockets * 11 / 20, left_of(threads, b.own + rest, kFewestClients), std::max(sockets_left * 4 / 5, kFewestClients)});
   b.lines = left_of(sockets_left, b.clients, kFewestLines);
   return b;
 }
--- a/src/coordination/budget.hpp
+++ b/src/coordination/budget.hpp
@@ -9,18 +9,16 @@
 struct Budget {
   std::size_t threads = 0, sockets = 0;  // in all
   std::size_t own = 0;                   // threads of long-lived duties
-  std::size_t clients = 0, peers = 0;  // accepted connections of users and workers, and of other controllers
-  std::size_t senders = 0;             // routines that send commands to workers
-  std::size_t probes = 0;              // workers asked for their status at the same time
-  std::size_t lines = 0;               // connections to workers kept between commands
+  std::size_t clients = 0, peers = 0;    // accepted connections of users and workers, and of other controllers
+  std::size_t senders = 0;               // routines that send commands to workers
+  std::size_t probes = 0;                // workers asked for their status at the same time
+  std::size_t lines = 0;                 // connections to workers kept between commands
   // Beyond its bound an acceptor takes so many more while the connections it ends wind down.
   static constexpr std::size_t kOver = 16;
   static constexpr std::size_t kCallsToAPeer = 12;
   static constexpr std::size_t kLeastThreads = 100;
 
-  [[nodiscard]] std::size_t most_threads() const {
-    return own + clients + peers + 2 * kOver + senders + probes;
-  }
+  [[nodiscard]] std::size_t most_threads() const { return own + clients + peers + 2 * kOver + senders + probes; }
   [[nodiscard]] std::size_t most_sockets() const;
 };
 
--- a/src/coordination/cloud.cpp
+++ b/src/coordination/cloud.cpp
@@ -20,23 +20,23 @@
 constexpr double kServedGap = 10.0;    // a longer one was not looked at by this leader
 constexpr double kCloudTimeout = 5.0;
 constexpr double kFlavorsPeriod = 120.0;
-constexpr double kRefusedPause = 20.0;      // after "no capacity"
+constexpr double kRefusedPause = 20.0;  // after "no capacity"
 constexpr std::size_t kMostReleased = 50;
-constexpr double kQuiet = 20.0;             // no work waits or runs, services aside, for this long
+constexpr double kQuiet = 20.0;  // no work waits or runs, services aside, for this long
 constexpr double kIdleWhenQuiet = 20.0;
 constexpr double kIdleWhenBusy = 300.0;
-constexpr double kSilentReports = 2.0;      // report periods
-constexpr double kDirectReports = 1.45;     // report periods within which one that reaches it has been heard
-constexpr std::size_t kDirectShare = 3;     // one in so many
+constexpr double kSilentReports = 2.0;   // report periods
+constexpr double kDirectReports = 1.45;  // report periods within which one that reaches it has been heard
+constexpr std::size_t kDirectShare = 3;  // one in so many
 constexpr double kProbeTimeout = 1.0;
 constexpr std::size_t kAskedBeforeHandOver = 5;
 constexpr unsigned kPage = 500;
-constexpr unsigned kMostAtOnce = 50;         // in one rental
-constexpr double kRentShare = 0.5;          // of the calls that the cloud takes in a second
-constexpr std::size_t kNotHeard = 50;       // one in so many machines may be up and not heard of
-constexpr double kListedAfter = 2.0;         // list lags until what was rented before is in a list
-constexpr double kMuteLeases = 3.0;          // leases that a machine listed as running may go unheard of
-constexpr double kIdleHaste = 2.0;           // times its run and a boot that work of the lowest rank is rented for ahead of its aim
+constexpr unsigned kMostAtOnce = 50;   // in one rental
+constexpr double kRentShare = 0.5;     // of the calls that the cloud takes in a second
+constexpr std::size_t kNotHeard = 50;  // one in so many machines may be up and not heard of
+constexpr double kListedAfter = 2.0;   // list lags until what was rented before is in a list
+constexpr double kMuteLeases = 3.0;    // leases that a machine listed as running may go unheard of
+constexpr double kIdleHaste = 2.0;     // times its run and a boot that work of the lowest rank is rented for ahead of its aim
 
 }  // namespace
 
@@ -83,10 +83,10 @@
     Lock lock(mutex_);
     if (!decisive()) return false;
     const auto& old = term_->book->flavors();
-    const bool same = old.size() == flavors.size() &&
-                      std::equal(old.begin(), old.end(), flavors.begin(), [](const Flavor& a, const Flavor& b) {
-                        return a.name == b.name && a.room == b.room && a.boot_s == b.boot_s;
-                      });
+    const bool same =
+        old.size() == flavors.size() && std::equal(old.begin(), old.end(), flavors.begin(), [](const Flavor& a, const Flavor& b) {
+          return a.name == b.name && a.room == b.room && a.boot_s == b.boot_s;
+        });
     if (!same) {
       // Kept in the ledger, so that a later leader can decide on submissions during a cloud outage.
       spdlog::info("{} machine types known", flavors.size());
@@ -263,12 +263,11 @@
   waits_told_at_ = now;
   for (const auto& w : what_waits(*term_->book, wall_now()))
     if (w.unstarted_s > kLongWait)
-      spdlog::info("team {}, class {}: {} tasks wait for {}, the oldest job of which nothing has run for {:.0f} s", w.team,
-                   w.job_class, w.tasks, name_of(w.what), w.unstarted_s);
+      spdlog::info("team {}, class {}: {} tasks wait for {}, the oldest job of which nothing has run for {:.0f} s", w.team, w.job_class,
+                   w.tasks, name_of(w.what), w.unstarted_s);
   const auto amiss = term_->book->correct_accounts();
   counters_.amiss += amiss.size();
-  for (const auto& team : amiss)
-    spdlog::error("team {}: its account is not what is placed; the larger figure holds", team);
+  for (const auto& team : amiss) spdlog::error("team {}: its account is not what is placed; the larger figure holds", team);
 }
 
 // Cut from the workers only, it keeps its hold and its peers: reports reach it by way of them, its commands fail, and
@@ -377,9 +376,8 @@
       for (const auto& u : unserved_)
         if (u.late > 0 && worth_renting(term_->book->job(u.job), wall_now())) in.needs.push_back({u.job, u.late});
       // Machines with accelerators first: nothing else serves the work that needs them, and they take the longest to boot.
-      std::stable_partition(in.needs.begin(), in.needs.end(), [&](const auto& n) {
-        return term_->book->job(n.job).spec.need.accelerators > 0;
-      });
+      std::stable_partition(in.needs.begin(), in.needs.end(),
+                            [&](const auto& n) { return term_->book->job(n.job).spec.need.accelerators > 0; });
       const auto rental = choose_rental(in);
       if (!rental) return false;
       // The epoch is of this term alone, so no other controller or process ever uses the name again.
@@ -392,8 +390,7 @@
     return term_number_ == number ? term_->book->kind_name(rental.offer.kind) : std::string();
   }();
   if (kind.empty()) return false;
-  const auto r = cloud.post(kRentPath, rent_body(name, kind, rental.offer.yard, rental.offer.loaner, rental.count),
-                            kCloudTimeout);
+  const auto r = cloud.post(kRentPath, rent_body(name, kind, rental.offer.yard, rental.offer.loaner, rental.count), kCloudTimeout);
   Lock lock(mutex_);
   // Without an answer the same request is made again: under another name it would rent twice.
   if (r.delivery == Delivery::in_doubt || r.is(429)) return false;
@@ -403,8 +400,7 @@
   if (r.ok()) {
     try {
       const auto names = parse_rented(r.body);
-      spdlog::info("rented {} of {} {} in {}{}{}", names.size(), rental.count, kind, rental.offer.yard,
-                   rental.offer.loaner ? ", spot" : "",
+      spdlog::info("rented {} of {} {} in {}{}{}", names.size(), rental.count, kind, rental.offer.yard, rental.offer.loaner ? ", spot" : "",
                    rental.late > 0 ? ", while " + std::to_string(rental.late) + " rented before are late" : "");
       for (const auto& host_name : names) {
         const HostIdx h = term_->book->host_named(host_name);
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -36,7 +36,7 @@
       incarnation_(random_word() >> 2),
       teams_file_(teams_file(settings_)),
       able_{rollout::kLeastLevel, tuning.state_level_reads, std::min(tuning.state_level_most, tuning.state_level_reads),
-            incarnation_, rollout::kBuild, digest_of(teams_file_)},
+            incarnation_,         rollout::kBuild,          digest_of(teams_file_)},
       writes_(settings_.state_write_rps),
       random_(random_word()),
       due_(std::max<std::size_t>(budget_.senders / 4, 1)),
@@ -54,8 +54,8 @@
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait") wait_aims_[o.job_class].push_back(o.within_s);
   for (const auto& p : settings_.peers) {
-    links_.push_back({p, std::make_unique<FramePool>(p.address, Budget::kCallsToAPeer),
-                      std::make_unique<FramePool>(p.address, 1), {}, 0, 0, 0});
+    links_.push_back(
+        {p, std::make_unique<FramePool>(p.address, Budget::kCallsToAPeer), std::make_unique<FramePool>(p.address, 1), {}, 0, 0, 0});
   }
 }
 
@@ -65,22 +65,21 @@
   if (custody_span(settings_.cancel_s, settings_.lease_s) <= 0)
     spdlog::info("cancel_s, {} s, leaves no time beyond lease_s, {} s: no lease is renewed in a cut or in doubt", settings_.cancel_s,
                  settings_.lease_s);
-  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, budget_.peers,
-                                                [this](const Frame& f) { return on_frame(f); });
-  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, budget_.clients,
-                                              [this](const HttpCall& c) { return on_http(c); });
+  frame_server_ = std::make_unique<FrameServer>(settings_.peer_listen, budget_.peers, [this](const Frame& f) { return on_frame(f); });
+  http_server_ = std::make_unique<HttpServer>(settings_.client_listen, budget_.clients, [this](const HttpCall& c) { return on_http(c); });
   duties_.emplace_back([this](std::stop_token st) { ledger_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { cloud_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { rollout_duty(st); });
   if (tuning_.intake) duties_.emplace_back([this](std::stop_token st) { intake_.run(st); });
-  for (std::size_t i = 0; i < links_.size(); ++i)
-    duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
+  for (std::size_t i = 0; i < links_.size(); ++i) duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
   duties_.emplace_back([this](std::stop_token st) { leadership_duty(st); });
   spdlog::info("{} serves on {}, peers on {}", settings_.label, settings_.client_listen, settings_.peer_listen);
-  spdlog::info("at most {} of {} threads and {} of {} sockets: {} connections of users and workers, {} of controllers, "
-               "{} senders, {} connections to workers", budget_.most_threads(), budget_.threads, budget_.most_sockets(),
-               budget_.sockets, budget_.clients, budget_.peers, budget_.senders, budget_.lines);
+  spdlog::info(
+      "at most {} of {} threads and {} of {} sockets: {} connections of users and workers, {} of controllers, "
+      "{} senders, {} connections to workers",
+      budget_.most_threads(), budget_.threads, budget_.most_sockets(), budget_.sockets, budget_.clients, budget_.peers, budget_.senders,
+      budget_.lines);
   while (pause_for(stop, 3600)) {
   }
   spdlog::info("stopping");
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -70,30 +70,30 @@
     std::uint64_t takeover_epoch = 0;  // of the takeover
     std::uint64_t epoch = 0;           // now; raised to fence commands in doubt
     std::uint64_t hold = 0;
-    double valid_until = 0;            // steady: until then no one else can lead
+    double valid_until = 0;  // steady: until then no one else can lead
     double taken_over_at = 0;
-    bool started = false;              // a start of this term is in the ledger
-    bool first_of_all = false;         // the ledger was empty: no earlier leader rented or placed anything
-    Backing backing;                   // what the other controllers answered in this term
+    bool started = false;       // a start of this term is in the ledger
+    bool first_of_all = false;  // the ledger was empty: no earlier leader rented or placed anything
+    Backing backing;            // what the other controllers answered in this term
     bool bump_wanted = false;
-    bool lead_in_doubt = false;        // a change of its own key is on its way, or has no answer yet
-    const char* hand_over = nullptr;   // why it is to give leadership up, in order
+    bool lead_in_doubt = false;       // a change of its own key is on its way, or has no answer yet
+    const char* hand_over = nullptr;  // why it is to give leadership up, in order
     double bumped_at = 0;
-    std::optional<ReadLedger> read;    // before it took the lead
-    std::unique_ptr<Book> book;        // set when recovered
+    std::optional<ReadLedger> read;  // before it took the lead
+    std::unique_ptr<Book> book;      // set when recovered
     Tail tail;
-    LevelOn level;                     // the state level that is on
+    LevelOn level;  // the state level that is on
     std::uint64_t level_stamp = 0;
-    std::optional<rollout::Step> step; // on its way: the rollout duty's, sent by the ledger's writer
-    double rewrote_at = 0;             // steady seconds of the last commit
-    std::uint64_t teams_ticket = 0;    // of the terms of teams last sent on their way into the ledger
-    std::set<JobIdx> within;           // their teams' guarantees, as the last pass saw it
-    Floor floor;                       // by the numbers of this term's book
-    ReportReceiver intake_reports;     // that other controllers passed on
-    WorkerBalance balance;             // of workers over the controllers
-    double commands_failing_since = 0; // steady seconds: no direct command was answered since; 0: the latest one was
-    std::size_t own_workers = 0;       // that report to this controller itself, as counted last
-    double own_workers_at = 0;         // steady seconds
+    std::optional<rollout::Step> step;  // on its way: the rollout duty's, sent by the ledger's writer
+    double rewrote_at = 0;              // steady seconds of the last commit
+    std::uint64_t teams_ticket = 0;     // of the terms of teams last sent on their way into the ledger
+    std::set<JobIdx> within;            // their teams' guarantees, as the last pass saw it
+    Floor floor;                        // by the numbers of this term's book
+    ReportReceiver intake_reports;      // that other controllers passed on
+    WorkerBalance balance;              // of workers over the controllers
+    double commands_failing_since = 0;  // steady seconds: no direct command was answered since; 0: the latest one was
+    std::size_t own_workers = 0;        // that report to this controller itself, as counted last
+    double own_workers_at = 0;          // steady seconds
     [[nodiscard]] const char* key() const { return lead_key(level.level); }
   };
 
@@ -293,7 +293,7 @@
   bool committing_ = false;
   std::size_t shrunk_ = 1;
   StartWatch start_watch_;
-  std::atomic<double> lag_{0};   // seconds by which the leader's renewals run late, lately
+  std::atomic<double> lag_{0};  // seconds by which the leader's renewals run late, lately
   // Steady seconds: since when no leader is known that could read the ledger; 0: one is.
   double unread_since_ = 0;
   std::string level_waits_for_;  // for what the next state level is waited; empty: for nothing
@@ -305,8 +305,8 @@
   std::condition_variable_any pass_wanted_;
   std::deque<Pending> queue_;
   std::uint64_t tickets_ = 0, applied_ticket_ = 0;
-  bool users_wait_ = false;  // some of what is queued is a user's
-  double commit_at_ = 0;  // steady seconds: when what is queued must go
+  bool users_wait_ = false;                                   // some of what is queued is a user's
+  double commit_at_ = 0;                                      // steady seconds: when what is queued must go
   std::unordered_map<std::string, std::uint64_t> accepting_;  // uid -> ticket
   bool pass_due_ = false;
   WriteBudget writes_;
@@ -323,8 +323,8 @@
   std::map<KindIdx, Demand> accelerator_demand_;  // machines' worth of accelerator work lately
   DueWorkers due_;
   KeptLines lines_;
-  std::size_t turns_ = 0;          // held by senders, or given to some that have not woken yet
-  std::size_t turns_given_ = 0;    // the latter
+  std::size_t turns_ = 0;        // held by senders, or given to some that have not woken yet
+  std::size_t turns_given_ = 0;  // the latter
   std::size_t senders_resting_ = 0;
   std::condition_variable_any turn_given_;
   std::vector<std::jthread> senders_;
@@ -344,8 +344,8 @@
   std::optional<RentalRequest> rental_;  // made and not answered; used by the cloud's duty alone
 
   std::vector<PeerLink> links_;
-  const double began_;         // steady seconds: what an earlier process of this controller did ended before
-  double answers_until_ = 0;   // steady seconds: until then answers that it gave, and that may grow old, may be on their way
+  const double began_;        // steady seconds: what an earlier process of this controller did ended before
+  double answers_until_ = 0;  // steady seconds: until then answers that it gave, and that may grow old, may be on their way
   Custody custody_;
 
   Counters counters_;
--- a/src/coordination/intake_sender.cpp
+++ b/src/coordination/intake_sender.cpp
@@ -12,20 +12,20 @@
 namespace thistle {
 
 namespace {
-constexpr double kBatchPeriod = 0.05;        // seconds from one batch to the next, at least
-constexpr double kBatchTimeout = 1.2;        // seconds for an answer
-constexpr double kAskAgain = 2.0;            // seconds: a leader that took no batches may begin to
-constexpr double kAnnounce = 1.0;            // seconds: an intake without reports tells the leader that it is there
+constexpr double kBatchPeriod = 0.05;  // seconds from one batch to the next, at least
+constexpr double kBatchTimeout = 1.2;  // seconds for an answer
+constexpr double kAskAgain = 2.0;      // seconds: a leader that took no batches may begin to
+constexpr double kAnnounce = 1.0;      // seconds: an intake without reports tells the leader that it is there
 // Seconds. A leader that ended is succeeded sooner; one that can't be reached from here for longer, and still leads, is perhaps
 // reached by the workers themselves (controllers that refuse each other: replicas were missed for half a minute).
 constexpr double kLinkPatience = 2.2;
-constexpr double kAfterFailure = 0.1;        // seconds
-constexpr double kNoLead = 0.05;             // seconds until it is looked again who leads
+constexpr double kAfterFailure = 0.1;  // seconds
+constexpr double kNoLead = 0.05;       // seconds until it is looked again who leads
 constexpr std::size_t kMostBytes = 256 * 1024;
 constexpr std::size_t kMostReports = 1024;
-constexpr std::size_t kMostWaiting = 4096;   // reports; a connection has one at a time
-constexpr double kHeardLately = 20.0;        // seconds
-constexpr double kCountPeriod = 1.0;         // seconds
+constexpr std::size_t kMostWaiting = 4096;  // reports; a connection has one at a time
+constexpr double kHeardLately = 20.0;       // seconds
+constexpr double kCountPeriod = 1.0;        // seconds
 }  // namespace
 
 IntakeSender::Passed IntakeSender::pass_on(const Report& report, double timeout_s) {
@@ -187,8 +187,10 @@
 
 void IntakeSender::put_back(Waiting& waiting) {
   waiting.in_batch = false;
-  if (steady_now() >= waiting.until) finish(waiting, Passed::Outcome::not_answered);
-  else waiting_.push_back(&waiting);
+  if (steady_now() >= waiting.until)
+    finish(waiting, Passed::Outcome::not_answered);
+  else
+    waiting_.push_back(&waiting);
 }
 
 void IntakeSender::note_failure() {
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -14,12 +14,12 @@
 constexpr double kValidMargin = 0.05;
 constexpr double kBeatPeriod = 0.5;
 constexpr unsigned kFollowMs = 10000;
-constexpr double kPeersLost = 3.0;    // no peer has answered for this long
-constexpr double kStandBack = 4.0;    // before it tries to lead again
+constexpr double kPeersLost = 3.0;  // no peer has answered for this long
+constexpr double kStandBack = 4.0;  // before it tries to lead again
 constexpr double kLookAgain = 0.3;
-constexpr double kOthersFirst = 3.0;  // one that stands back leads all the same when nobody else has for this long
-constexpr double kLagMemory = 0.7;    // of the lateness before, at each renewal
-constexpr double kLastCommit = 0.4;   // what is queued may go into the ledger before the hold is given back
+constexpr double kOthersFirst = 3.0;   // one that stands back leads all the same when nobody else has for this long
+constexpr double kLagMemory = 0.7;     // of the lateness before, at each renewal
+constexpr double kLastCommit = 0.4;    // what is queued may go into the ledger before the hold is given back
 constexpr double kBehindOthers = 0.3;  // one that cleared the key of its own earlier process lets the others go first
 }  // namespace
 
@@ -91,7 +91,8 @@
   // leader that knows what is cancelled, uncertain as it is; taken first, with one that knows nothing and must let the
   // leases of all machines end (gap-lienzo, seed 12: 11,054 tasks).
   std::string unreadable;
-  auto read = read_ledger(store, stop, [] { return false; }, unreadable);
+  auto read = read_ledger(
+      store, stop, [] { return false; }, unreadable);
   if (!read && unreadable.empty()) {
     pause_for(stop, kLookAgain);
     return false;
@@ -172,9 +173,8 @@
     const double answered = steady_now();
     Lock lock(mutex_);
     if (const double whole = steady_now() - slept_at - period; whole > period)
-      spdlog::debug("renewal {:.0f} ms late: woken {:.0f}, lock {:.0f}, answer {:.0f}, lock {:.0f}", whole * 1000,
-                    late * 1000, (asked - slept_at - period - late) * 1000, (answered - asked) * 1000,
-                    (steady_now() - answered) * 1000);
+      spdlog::debug("renewal {:.0f} ms late: woken {:.0f}, lock {:.0f}, answer {:.0f}, lock {:.0f}", whole * 1000, late * 1000,
+                    (asked - slept_at - period - late) * 1000, (answered - asked) * 1000, (steady_now() - answered) * 1000);
     if (term_number_ != number || role_ == Role::follower) break;
     if (status == StoreStatus::ok) {
       term_->valid_until = asked + tuning_.hold_ms / 1000.0 * (1 - kClockDrift) - kValidMargin;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -14,13 +14,13 @@
 
 namespace {
 
-constexpr double kLingerWrites = 2.5;           // records that can wait do so for the time of this many writes
+constexpr double kLingerWrites = 2.5;  // records that can wait do so for the time of this many writes
 constexpr double kRewriteShare = 0.2;  // of the writes: for entries of another level, while nothing else is to be written
 constexpr double kLeastValueKb = 1;
 constexpr std::size_t kLeastOps = 4;
-constexpr double kReadAgain = 1.0;       // seconds
-constexpr double kAskAgain = 0.1;        // where the state service does not answer
-constexpr double kKeepUnread = 8.0;      // so long one keeps the lead that can't read, where nobody can
+constexpr double kReadAgain = 1.0;   // seconds
+constexpr double kAskAgain = 0.1;    // where the state service does not answer
+constexpr double kKeepUnread = 8.0;  // so long one keeps the lead that can't read, where nobody can
 
 double cores_on_plain_machines(const Book& book, const DoneRecord& done) {
   const JobIdx j = book.find(done.uid);
@@ -50,8 +50,7 @@
 
 bool Controller::wait_applied(Lock& lock, std::uint64_t ticket, double timeout_s) {
   const auto term = term_number_;
-  applied_.wait_for(lock, std::chrono::duration<double>(timeout_s),
-                    [&] { return term_number_ != term || applied_ticket_ >= ticket; });
+  applied_.wait_for(lock, std::chrono::duration<double>(timeout_s), [&] { return term_number_ != term || applied_ticket_ >= ticket; });
   return term_number_ == term && applied_ticket_ >= ticket;
 }
 
@@ -91,12 +90,9 @@
       case Blame::News::What::cleared: spdlog::info("{}: no longer suspected, a task of it succeeded", uid); break;
       case Blame::News::What::set_aside:
         ++counters_.set_aside;
-        spdlog::info("{}: set aside for {:.0f} s, several jobs failed there, the last one {}", book.host(n.host).name,
-                     pause, uid);
-        break;
-      case Blame::News::What::acquitted:
-        spdlog::info("{}: in use again, by what is known now of {}", book.host(n.host).name, uid);
+        spdlog::info("{}: set aside for {:.0f} s, several jobs failed there, the last one {}", book.host(n.host).name, pause, uid);
         break;
+      case Blame::News::What::acquitted: spdlog::info("{}: in use again, by what is known now of {}", book.host(n.host).name, uid); break;
     }
   }
 }
@@ -123,9 +119,7 @@
     while (!stop.stop_requested() && term_number_ == number) {
       // Entries of another level are written anew also while nothing else is to be written.
       const double rewrite_period = 1 / (writes_.rate() * kRewriteShare);
-      const auto rewrite_due = [&] {
-        return term_->tail.old_entries() && steady_now() >= term_->rewrote_at + rewrite_period;
-      };
+      const auto rewrite_due = [&] { return term_->tail.old_entries() && steady_now() >= term_->rewrote_at + rewrite_period; };
       const auto due = [&] {
         return term_number_ != number || (term_ && (term_->bump_wanted || term_->step || rewrite_due())) ||
                (!queue_.empty() && steady_now() >= commit_at_);
@@ -271,8 +265,8 @@
     auto status = store.txn(body, stamp, failed);
     if (status == StoreStatus::in_doubt) in_doubt = true;
     if (status == StoreStatus::refused)
-      spdlog::error("the state service refused a transaction of {} bytes, {} changes, largest value {} bytes", body.size(),
-                    draft.changes(), largest);
+      spdlog::error("the state service refused a transaction of {} bytes, {} changes, largest value {} bytes", body.size(), draft.changes(),
+                    largest);
     // Refused after its limits were lowered, an earlier try may yet have been applied before.
     if (status == StoreStatus::conflict || (status == StoreStatus::refused && in_doubt)) {
       const bool deposed = std::find(failed.begin(), failed.end(), leader_key) != failed.end();
@@ -344,8 +338,7 @@
     if (const auto* start = std::get_if<StartRecord>(&q.record)) {
       note_starts(*start);
       start_watch_.started();
-      if (!std::exchange(term.started, true))
-        spdlog::info("first start {:.1f} s after the takeover", steady_now() - term.taken_over_at);
+      if (!std::exchange(term.started, true)) spdlog::info("first start {:.1f} s after the takeover", steady_now() - term.taken_over_at);
     }
     if (const auto* done = std::get_if<DoneRecord>(&q.record)) {
       for (const auto& r : done->tasks) counters_.finished += r.last - r.first;
--- a/src/coordination/passes.cpp
+++ b/src/coordination/passes.cpp
@@ -14,17 +14,17 @@
 namespace thistle {
 
 namespace {
-constexpr double kIdlePeriod = 1.0;        // a pass at least this often
+constexpr double kIdlePeriod = 1.0;  // a pass at least this often
 constexpr double kStartWait = 30.0;
-constexpr double kSilentReports = 1.5;     // report periods without a report: no new work goes there
-constexpr double kTimeGrain = 0.5;        // of ends in the profiles: far finer than estimates are
+constexpr double kSilentReports = 1.5;  // report periods without a report: no new work goes there
+constexpr double kTimeGrain = 0.5;      // of ends in the profiles: far finer than estimates are
 constexpr double kDrainSlack = 1.0;
 constexpr double kBumpPeriod = 1.0;
 constexpr double kPatience = 2.0;
 constexpr double kUnlimited = 1e15;
-constexpr double kBorrowed = 60.0;          // about how long a task without accelerators runs
-constexpr double kDemandUnknown = 6.0;      // seconds of a fleet's first term
-constexpr double kDemandMemory = 60.0;     // seconds over which the demand for accelerators fades
+constexpr double kBorrowed = 60.0;      // about how long a task without accelerators runs
+constexpr double kDemandUnknown = 6.0;  // seconds of a fleet's first term
+constexpr double kDemandMemory = 60.0;  // seconds over which the demand for accelerators fades
 }  // namespace
 
 void Controller::pass_duty(std::stop_token stop) {
@@ -60,8 +60,7 @@
     const auto unfinished = static_cast<double>(job.tasks.size() - job.done);
     auto& sum = sums[job.team.v];
     sum += job.spec.need * unfinished;
-    const bool named = (guarantee.cores > 0 && job.spec.need.cores > 0) ||
-                       (guarantee.accelerators > 0 && job.spec.need.accelerators > 0);
+    const bool named = (guarantee.cores > 0 && job.spec.need.cores > 0) || (guarantee.accelerators > 0 && job.spec.need.accelerators > 0);
     const bool fits = (guarantee.cores <= 0 || sum.cores <= guarantee.cores + 1e-6) &&
                       (guarantee.accelerators <= 0 || sum.accelerators <= guarantee.accelerators + 1e-6);
     if (named && fits) within.insert(j);
@@ -104,8 +103,7 @@
   out.key = key_of(job.draw, job.spec.expected_s, tuning_.weight, wall - job.since, out.service);
   out.patience_s = patience_of(job, wall);
   if (out.service)
-    for (double within_s : wait_aims(job.spec.job_class))
-      out.run_within_s = std::max(0.0, within_s - (wall - job.since));
+    for (double within_s : wait_aims(job.spec.job_class)) out.run_within_s = std::max(0.0, within_s - (wall - job.since));
   out.kinds = job.kinds;
   out.yard = job.yard;
   out.one_zone = job.spec.one_zone;
@@ -123,8 +121,7 @@
     out.host_used.assign(in.hosts.size(), 0);
     for (const auto& [task, p] : job.placed) {
       // In the order of their indices.
-      const auto it = std::lower_bound(in.hosts.begin(), in.hosts.end(), p.host,
-                                       [](const PlanHost& a, HostIdx h) { return a.host < h; });
+      const auto it = std::lower_bound(in.hosts.begin(), in.hosts.end(), p.host, [](const PlanHost& a, HostIdx h) { return a.host < h; });
       if (it != in.hosts.end() && it->host == p.host) ++out.host_used[static_cast<std::size_t>(it - in.hosts.begin())];
     }
   }
@@ -182,8 +179,7 @@
     std::vector<PlanHost*> hosts;
     for (auto& h : in.hosts)
       if (h.kind == k && h.lending != PlanHost::Lending::all) hosts.push_back(&h);  // those its work may use
-    std::stable_sort(hosts.begin(), hosts.end(),
-                     [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
+    std::stable_sort(hosts.begin(), hosts.end(), [](const PlanHost* a, const PlanHost* b) { return a->lent.cores > b->lent.cores; });
     // A spare one only where an aim leaves no time for tasks that borrowed it to end. Gangs over several machines wait
     // for the last of them: for these there is room for one more of the widest (lienzo grown, steady).
     const double spare = demand.widest > 1 ? demand.widest : demand.patience < kBorrowed ? 1 : 0;
@@ -251,8 +247,8 @@
       if (job.spec.need.accelerators == 0) p.lent -= job.spec.need;
     }
     // What the worker still holds and the book no longer places there is on its way out.
-    const auto held = static_cast<std::size_t>(std::count_if(
-        host.pieces.begin(), host.pieces.end(), [](const SeenPiece& s) { return s.phase != Phase::exited; }));
+    const auto held = static_cast<std::size_t>(
+        std::count_if(host.pieces.begin(), host.pieces.end(), [](const SeenPiece& s) { return s.phase != Phase::exited; }));
     for (const auto& s : host.pieces) {
       if (held <= seen) break;
       if (s.phase == Phase::exited || !s.ref.job.valid()) continue;
@@ -273,8 +269,7 @@
     // After a takeover a machine's zone is unknown until it is listed or reports: the zones of the job's other
     // tasks must be known before one more is placed (wrong_place).
     if ((job.spec.spread || job.spec.one_zone) &&
-        std::any_of(job.placed.begin(), job.placed.end(),
-                    [&](const auto& p) { return !book.host(p.second.host).zone.valid(); }))
+        std::any_of(job.placed.begin(), job.placed.end(), [&](const auto& p) { return !book.host(p.second.host).zone.valid(); }))
       continue;
     // A gang is one unit: all of its tasks must be off their machines before it is planned again.
     if (job.spec.shape == Shape::group && !job.placed.empty()) continue;
@@ -324,8 +319,7 @@
   for (std::uint32_t i = 0; i < book.host_count(); ++i) {
     Host& host = book.host(HostIdx{i});
     const bool idle = host.placed.empty() && host.reported &&
-                      std::all_of(host.pieces.begin(), host.pieces.end(),
-                                  [](const SeenPiece& s) { return s.phase == Phase::exited; });
+                      std::all_of(host.pieces.begin(), host.pieces.end(), [](const SeenPiece& s) { return s.phase == Phase::exited; });
     if (!idle) {
       host.idle_since = 0;
     } else if (host.idle_since == 0) {
@@ -414,9 +408,10 @@
   counters_.pass_seconds = counters_.pass_seconds + cost.elapsed_s;
   counters_.pass_processor_seconds = counters_.pass_processor_seconds + cost.processor_s;
   pass_times_.add(cost.elapsed_s);
-  spdlog::debug("pass: {:.1f} ms, {:.2f} ms of processor, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped, {:.0f} ms behind", cost.elapsed_s * 1000, cost.processor_s * 1000,
-                input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(), plan.unserved.size(),
-                preemption.victims.size(), lag_ * 1000);
+  spdlog::debug(
+      "pass: {:.1f} ms, {:.2f} ms of processor, {} hosts, {} jobs wait, {} starts, {} holds, {} unserved, {} stopped, {:.0f} ms behind",
+      cost.elapsed_s * 1000, cost.processor_s * 1000, input.hosts.size(), input.jobs.size(), plan.starts.size(), plan.holds.size(),
+      plan.unserved.size(), preemption.victims.size(), lag_ * 1000);
   if (!starts.empty()) {
     std::vector<Record> records;
     for (const auto& [j, of_job] : starts) {
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -11,22 +11,22 @@
 namespace thistle {
 
 namespace {
-constexpr double kCommitWait = 2.0;       // a submission not in the ledger by then is given up on
-constexpr double kForwardTimeout = 1.8;   // users' polls wait 2 s
-constexpr double kReportTimeout = 2.5;    // the worker itself waits 4 s
-constexpr double kOutageGrace = 0.5;      // writes failing for longer: submissions are refused at once
-constexpr std::size_t kMostQueued = 3000; // records waiting for the ledger before submissions are turned away
+constexpr double kCommitWait = 2.0;        // a submission not in the ledger by then is given up on
+constexpr double kForwardTimeout = 1.8;    // users' polls wait 2 s
+constexpr double kReportTimeout = 2.5;     // the worker itself waits 4 s
+constexpr double kOutageGrace = 0.5;       // writes failing for longer: submissions are refused at once
+constexpr std::size_t kMostQueued = 3000;  // records waiting for the ledger before submissions are turned away
 constexpr double kSlowCommit = 0.1;
 constexpr int kRetryAfter = 1;
-constexpr double kLedgerWait = 1.0;       // a report waits for so long for the ledger to be read; the worker waits 4 s
-constexpr double kBeatFresh = 2.0;        // four beats
+constexpr double kLedgerWait = 1.0;  // a report waits for so long for the ledger to be read; the worker waits 4 s
+constexpr double kBeatFresh = 2.0;   // four beats
 constexpr double kLeaderlessGrace = 6.0;
 constexpr double kBounceWindow = 12.0;
-constexpr double kGreeted = 0.6;          // of a lease
-constexpr double kForwardWindow = 30.0;   // then the worker is sent to the leader once more
-constexpr double kHeardLately = 2.5;      // report periods
-constexpr double kCommandsLost = 2.0;     // seconds without an answered command, though some were sent
-constexpr double kCountPeriod = 1.0;      // seconds: how often the leader counts its own workers
+constexpr double kGreeted = 0.6;         // of a lease
+constexpr double kForwardWindow = 30.0;  // then the worker is sent to the leader once more
+constexpr double kHeardLately = 2.5;     // report periods
+constexpr double kCommandsLost = 2.0;    // seconds without an answered command, though some were sent
+constexpr double kCountPeriod = 1.0;     // seconds: how often the leader counts its own workers
 constexpr const char* kUnavailable = "not available now";
 }  // namespace
 
@@ -88,8 +88,7 @@
     if (call->target == kIntakeTarget) return pack(takes_batches(), received);
     if (call->target == kTeamsTarget) return pack(HttpReply{200, pack(teams_file_)}, steady_now());
     const UserRoute route = route_of(call->method, call->target);
-    const auto reply =
-        route.kind == UserRoute::Kind::report ? on_report(call->body, nullptr) : on_user(route, call->body);
+    const auto reply = route.kind == UserRoute::Kind::report ? on_report(call->body, nullptr) : on_user(route, call->body);
     return pack(reply, received);
   }
   spdlog::error("malformed frame from a peer, kind {}", frame.kind);
@@ -148,8 +147,7 @@
     if (!pool || left <= 0) break;
     known = true;
     lock.unlock();
-    const auto answer =
-        pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}), left);
+    const auto answer = pool->ask(pack(PeerCall{std::string(call.method), std::string(call.target), std::string(call.body)}), left);
     auto reply = answer ? unpack_reply(*answer, asked) : std::nullopt;
     if (answer && !reply) spdlog::error("malformed answer from the leader");
     if (reply && reply->status != 503) return *reply;
@@ -164,8 +162,7 @@
     }
   }
   ++counters_.unavailable;
-  spdlog::debug("503 after {:.0f} ms: {}", (steady_now() - began) * 1000,
-                known ? "the leader does not answer" : "no leader is known");
+  spdlog::debug("503 after {:.0f} ms: {}", (steady_now() - began) * 1000, known ? "the leader does not answer" : "no leader is known");
   return error_reply(503, kUnavailable, kRetryAfter);
 }
 
@@ -222,8 +219,7 @@
     std::sort(s.host_kinds.begin(), s.host_kinds.end());
     s.host_kinds.erase(std::unique(s.host_kinds.begin(), s.host_kinds.end()), s.host_kinds.end());
     if (queue_.size() > kMostQueued) return error_reply(429, "overloaded", kRetryAfter);
-    if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace)
-      return error_reply(503, kUnavailable, kRetryAfter);
+    if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace) return error_reply(503, kUnavailable, kRetryAfter);
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const std::string uid = s.uid;
     const AcceptRecord accept{std::move(s), draw, book.accepted_next(wall_now(), settings_.skew_ms / 1000)};
@@ -239,8 +235,7 @@
   }
   const auto number = term_number_;
   const double asked = steady_now();
-  if (!wait_applied(lock, ticket, kCommitWait) || term_number_ != number || !decisive())
-    return error_reply(503, kUnavailable, kRetryAfter);
+  if (!wait_applied(lock, ticket, kCommitWait) || term_number_ != number || !decisive()) return error_reply(503, kUnavailable, kRetryAfter);
   const double took = steady_now() - asked;
   accept_waits_.add(took);
   if (took > kSlowCommit) spdlog::debug("{}: accepted after {:.0f} ms", s.uid, took * 1000);
@@ -282,8 +277,7 @@
     if (accepting_.contains(uid)) return error_reply(503, kUnavailable, kRetryAfter);
     return error_reply(404, "no such job");
   }
-  if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace)
-    return error_reply(503, kUnavailable, kRetryAfter);
+  if (store_failing_since_ != 0 && steady_now() - store_failing_since_ > kOutageGrace) return error_reply(503, kUnavailable, kRetryAfter);
   std::vector<Record> records;
   records.emplace_back(CancelRecord{uid});
   const auto ticket = enqueue(std::move(records), Haste::user);
@@ -333,8 +327,7 @@
   auto& bounce = bounces_[report.host];
   // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
   // Nor does its epoch tell where workers stay with any controller.
-  const bool was_there =
-      !tuning_.intake && report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
+  const bool was_there = !tuning_.intake && report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
   const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
   if (now >= bounce.forward_until) {
     if (!left_leader || bounce.forward_until > 0) {
@@ -496,9 +489,7 @@
 HttpReply Controller::metrics() {
   Lock lock(mutex_);
   std::string out;
-  const auto line = [&](const char* name, auto value) {
-    out += "thistlefront_" + std::string(name) + " " + std::to_string(value) + "\n";
-  };
+  const auto line = [&](const char* name, auto value) { out += "thistlefront_" + std::string(name) + " " + std::to_string(value) + "\n"; };
   line("leading", role_ == Role::leading ? 1 : 0);
   line("epoch", known_epoch_);
   line("state_level", term_ ? term_->level.level : 0);  // on the leader alone
@@ -596,8 +587,7 @@
   accept_waits_.print(out, "thistlefront_accept_seconds", "");
   guarantee_waits_.print(out, "thistlefront_guarantee_wait_seconds", "");
   pass_times_.print(out, "thistlefront_pass_seconds", "");
-  for (const auto& [job_class, waits] : start_waits_)
-    waits.print(out, "thistlefront_start_wait_seconds", "class=\"" + job_class + "\"");
+  for (const auto& [job_class, waits] : start_waits_) waits.print(out, "thistlefront_start_wait_seconds", "class=\"" + job_class + "\"");
   HttpReply reply{200, std::move(out)};
   reply.type = "text/plain; version=0.0.4";
   return reply;
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -56,27 +56,19 @@
     step_down(lock, "the state level is another one than it knows");
     return false;
   }
-  rollout::Leading leading{{settings_.label, incarnation_},
-                           term_->epoch,
-                           term_->hold,
-                           term_->level,
-                           term_->tail.old_entries(),
-                           {}};
+  rollout::Leading leading{{settings_.label, incarnation_}, term_->epoch, term_->hold, term_->level, term_->tail.old_entries(), {}};
   if (const auto team = term_->book->accounts().changing(); team && teams_at(look.on.level))
     leading.no_older_form = "the terms of team " + *team;
   if (const auto job = term_->book->in_pipeline(); job && pipelines_at(look.on.level)) leading.no_older_form = *job;
-  if (term_->tail.generation() != 0)
-    leading.no_older_form = "generation " + std::to_string(term_->tail.generation());
-  auto step = rollout::next_step(look, seen->roster, view.expected(), seen->answers, leading, wall_now(),
-                                 tuning_.state_level_soak_s);
+  if (term_->tail.generation() != 0) leading.no_older_form = "generation " + std::to_string(term_->tail.generation());
+  auto step = rollout::next_step(look, seen->roster, view.expected(), seen->answers, leading, wall_now(), tuning_.state_level_soak_s);
   if (step.changes() > settings_.txn_ops) {
     step = {};
     step.waits_for = "transactions of more changes than the state service allows";
   }
   if (step.waits_for != level_waits_for_) {
     level_waits_for_ = step.waits_for;
-    if (!step.waits_for.empty())
-      spdlog::info("state level {} is on; for another one it waits for: {}", look.on.level, step.waits_for);
+    if (!step.waits_for.empty()) spdlog::info("state level {} is on; for another one it waits for: {}", look.on.level, step.waits_for);
   }
   if (step.kind == rollout::Step::Kind::none) return agree_on_teams(lock, seen->files);
   term_->step = std::move(step);
@@ -92,12 +84,10 @@
   if (changed.empty()) return false;
   std::vector<Record> records;
   for (auto& r : changed) {
-    spdlog::info(
-        "team {}: {}", r.name,
-        r.leaving ? "in no settings any more, keeps its terms for the jobs that it has"
-        : r.proposed
-            ? "controllers differ; the lower limit and the higher guarantee hold until all have the same"
-            : "its terms are in force, the same on all controllers");
+    spdlog::info("team {}: {}", r.name,
+                 r.leaving    ? "in no settings any more, keeps its terms for the jobs that it has"
+                 : r.proposed ? "controllers differ; the lower limit and the higher guarantee hold until all have the same"
+                              : "its terms are in force, the same on all controllers");
     records.emplace_back(std::move(r));
   }
   term_->teams_ticket = enqueue(std::move(records));
@@ -107,8 +97,7 @@
 void Controller::adopt_level(const LevelOn& on, std::uint64_t stamp) {
   if (on != term_->level) {
     if (on.towards != 0) {
-      spdlog::info("state level {} is on and to be lowered: the ledger is written anew at level {}", on.level,
-                   on.towards);
+      spdlog::info("state level {} is on and to be lowered: the ledger is written anew at level {}", on.level, on.towards);
     } else {
       spdlog::info("state level {} is switched on, epoch {}", on.level, term_->epoch);
     }
--- a/src/coordination/roster_view.cpp
+++ b/src/coordination/roster_view.cpp
@@ -17,8 +17,7 @@
     : settings_(settings), able_(std::move(able)), file_(std::move(file)), pools_(std::move(pools)) {
   expected_.push_back(settings.label);
   for (const auto& p : settings.peers) expected_.push_back(p.label);
-  while (expected_.size() < settings.count)
-    expected_.push_back("unnamed-" + std::to_string(expected_.size()));
+  while (expected_.size() < settings.count) expected_.push_back("unnamed-" + std::to_string(expected_.size()));
 }
 
 bool RosterView::enlist(StoreClient& store, std::stop_token stop) const {
@@ -33,13 +32,11 @@
       std::uint64_t rev = 0;
       std::vector<std::string> failed;
       // Without an answer the record is looked at once more.
-      if (step.kind == rollout::Step::Kind::none || store.txn(step.body(), rev, failed) == StoreStatus::ok)
-        break;
+      if (step.kind == rollout::Step::Kind::none || store.txn(step.body(), rev, failed) == StoreStatus::ok) break;
     }
     if (!pause_for(stop, kTryAgain)) return false;
   }
-  spdlog::info("build {}: state levels {} to {}, at most {} to be switched on", able_.build, able_.least,
-               able_.most, able_.wants);
+  spdlog::info("build {}: state levels {} to {}, at most {} to be switched on", able_.build, able_.least, able_.most, able_.wants);
   return true;
 }
 
@@ -89,9 +86,7 @@
   Rows keys, records;
   // The roster first, then the peers themselves: an answer is newer than the record that it corrects, and a
   // record written in between makes the correction fail.
-  if (store.rows(kLeadPrefix, keys) != StoreStatus::ok ||
-      store.rows(kRosterPrefix, records) != StoreStatus::ok)
-    return std::nullopt;
+  if (store.rows(kLeadPrefix, keys) != StoreStatus::ok || store.rows(kRosterPrefix, records) != StoreStatus::ok) return std::nullopt;
   Seen seen;
   try {
     seen.look = rollout::look(keys.rows);
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -32,9 +32,7 @@
     case 409: return StoreStatus::conflict;
     case 429:
     case 503: return StoreStatus::unavailable;
-    default:
-      spdlog::error("state service: status {}: {}", r.status, r.body.substr(0, 200));
-      return StoreStatus::refused;
+    default: spdlog::error("state service: status {}: {}", r.status, r.body.substr(0, 200)); return StoreStatus::refused;
   }
 }
 
--- a/src/coordination/workers.cpp
+++ b/src/coordination/workers.cpp
@@ -23,8 +23,7 @@
   const HostIdx known = book.find_host(report.host);
   if (known.valid() && report.tenure > book.host(known).tenure) {
     const auto& placed = book.host(known).placed;
-    const auto forgot =
-        std::count_if(placed.begin(), placed.end(), [&](const auto& p) { return p.at->tenure < report.tenure; });
+    const auto forgot = std::count_if(placed.begin(), placed.end(), [&](const auto& p) { return p.at->tenure < report.tenure; });
     if (forgot > 0) spdlog::info("{}: its worker's lease ran out, {} tasks are off it", report.host, forgot);
   }
   Host& host = book.host(book.host_named(report.host));
@@ -40,8 +39,8 @@
   if (outcome.stale) return false;
   const bool records = !outcome.records.empty();
   // Tasks that are done can wait a moment for company; the others wait for their places to be seen to.
-  const bool done_only = std::all_of(outcome.records.begin(), outcome.records.end(),
-                                     [](const Record& r) { return std::holds_alternative<DoneRecord>(r); });
+  const bool done_only =
+      std::all_of(outcome.records.begin(), outcome.records.end(), [](const Record& r) { return std::holds_alternative<DoneRecord>(r); });
   if (records) enqueue(std::move(outcome.records), done_only ? Haste::soon : Haste::now);
   // With records, the pass comes when they are in the ledger.
   if (outcome.changed && !records) want_pass();
@@ -154,8 +153,10 @@
     spdlog::debug("{}: a start is in doubt", again.name);
   }
   again.commands_fail = !understood;
-  if (understood) term_->commands_failing_since = 0;
-  else if (term_->commands_failing_since == 0) term_->commands_failing_since = steady_now();
+  if (understood)
+    term_->commands_failing_since = 0;
+  else if (term_->commands_failing_since == 0)
+    term_->commands_failing_since = steady_now();
   if (!understood) {
     due_.failed(h, steady_now() + kPauseAfterFailure);
     return;
--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 constexpr double kMargin = 0.3;
-constexpr double kDetached =
-    3.0;  // seconds without an answer of the leader before a follower goes on without it
+constexpr double kDetached = 3.0;  // seconds without an answer of the leader before a follower goes on without it
 }  // namespace
 
 double custody_span(double cancel_s, double lease_s) {
--- a/src/fleet/deafness.cpp
+++ b/src/fleet/deafness.cpp
@@ -6,7 +6,7 @@
 namespace thistle {
 
 namespace {
-constexpr double kSurelyHears = 1.3;     // leases of one tenure: some answer renewed it
+constexpr double kSurelyHears = 1.3;      // leases of one tenure: some answer renewed it
 constexpr double kUnheededReports = 2.5;  // report periods after which a start must have been told of
 constexpr double kUnheededSlack = 1.5;
 constexpr double kGivenUpLeases = 3;
@@ -44,8 +44,7 @@
     auto& [known, deaf] = zones[host.zone];
     ++known;
     deaf += host.deaf_since > 0;
-    if (host.deaf_since > 0 && now - host.deaf_since > kGivenUpLeases * lease_s && host.placed.empty())
-      out.push_back(HostIdx{i});
+    if (host.deaf_since > 0 && now - host.deaf_since > kGivenUpLeases * lease_s && host.placed.empty()) out.push_back(HostIdx{i});
   }
   std::erase_if(out, [&](HostIdx h) {
     const auto& [known, deaf] = zones[book.host(h).zone];
--- a/src/fleet/dealings.cpp
+++ b/src/fleet/dealings.cpp
@@ -44,8 +44,7 @@
   static void split(const Ended& r, std::size_t most, std::vector<Record>& out) {
     for (std::size_t i = 0; i < r.tasks.size(); i += most) {
       Ended part = r;
-      part.tasks.assign(r.tasks.begin() + static_cast<long>(i),
-                        r.tasks.begin() + static_cast<long>(std::min(i + most, r.tasks.size())));
+      part.tasks.assign(r.tasks.begin() + static_cast<long>(i), r.tasks.begin() + static_cast<long>(std::min(i + most, r.tasks.size())));
       out.emplace_back(std::move(part));
     }
   }
@@ -66,7 +65,9 @@
                       [](const SeenPiece& s) { return s.phase == Phase::exited || !s.ref.job.valid(); });
 }
 
-bool cancelled(const Book& book, JobIdx j) { return j.valid() && book.job(j).status == JobStatus::aborted; }
+bool cancelled(const Book& book, JobIdx j) {
+  return j.valid() && book.job(j).status == JobStatus::aborted;
+}
 
 }  // namespace
 
@@ -99,8 +100,7 @@
   p.wind_down_s = wind_down_s;
 }
 
-ReportOutcome take_report(Book& book, const Report& report, Moment now, bool by_report,
-                          std::uint64_t fence_epoch) {
+ReportOutcome take_report(Book& book, const Report& report, Moment now, bool by_report, std::uint64_t fence_epoch) {
   ReportOutcome out;
   const HostIdx h = book.host_named(report.host);
   Host& host = book.host(h);
@@ -182,17 +182,15 @@
       note(seen, piece.cause);
       host.pieces.push_back(std::move(seen));
     }
-    std::sort(host.pieces.begin(), host.pieces.end(),
-              [](const SeenPiece& a, const SeenPiece& b) { return a.ref < b.ref; });
+    std::sort(host.pieces.begin(), host.pieces.end(), [](const SeenPiece& a, const SeenPiece& b) { return a.ref < b.ref; });
   }
   // A stopped task that the worker does not hold: it is off only when no start can still be on its way.
   if (by_report && report.epoch >= fence_epoch && host.clean(report.epoch)) {
     for (const auto& ref : host.placed) {
       Placement* p = ref.at;
       if (!p->stopping || p->closing || p->tenure != report.tenure) continue;
-      const bool there = std::any_of(host.pieces.begin(), host.pieces.end(), [&](const SeenPiece& s) {
-        return s.ref == ref && s.attempt == p->attempt;
-      });
+      const bool there =
+          std::any_of(host.pieces.begin(), host.pieces.end(), [&](const SeenPiece& s) { return s.ref == ref && s.attempt == p->attempt; });
       if (there) continue;
       p->closing = true;
       out.changed = true;
@@ -208,8 +206,7 @@
   const Host& host = book.host(h);
   if (host.gone || host.lost || host.tenure == 0) return out;
   const auto find = [&](PieceRef ref, std::uint64_t attempt) -> const SeenPiece* {
-    auto it = std::lower_bound(host.pieces.begin(), host.pieces.end(), ref,
-                               [](const SeenPiece& s, PieceRef r) { return s.ref < r; });
+    auto it = std::lower_bound(host.pieces.begin(), host.pieces.end(), ref, [](const SeenPiece& s, PieceRef r) { return s.ref < r; });
     for (; it != host.pieces.end() && it->ref == ref; ++it)
       if (it->attempt == attempt) return &*it;
     return nullptr;
@@ -223,8 +220,7 @@
     if (owned(p, h, host.tenure, s.attempt)) {
       // What is cancelled while it saves has nothing to save for: a second kill ends it.
       const bool saves_on = s.phase == Phase::saving && !cancelled(book, s.ref.job);
-      if (p->stopping && s.phase != Phase::exited && !saves_on)
-        out.push_back({Verb::kill, {uid, s.ref.task}, s.attempt, p->wind_down_s});
+      if (p->stopping && s.phase != Phase::exited && !saves_on) out.push_back({Verb::kill, {uid, s.ref.task}, s.attempt, p->wind_down_s});
       continue;
     }
     if (s.phase != Phase::exited) {
--- a/src/fleet/dealings.hpp
+++ b/src/fleet/dealings.hpp
@@ -13,8 +13,8 @@
 
 // What came out of a report. The records go to the ledger; the book changes when they are durable.
 struct ReportOutcome {
-  bool stale = false;     // older than one already seen: nothing was taken from it
-  bool changed = false;   // something a pass may want to know
+  bool stale = false;    // older than one already seen: nothing was taken from it
+  bool changed = false;  // something a pass may want to know
   std::vector<Record> records;
 };
 
@@ -47,9 +47,9 @@
 
 // Since when no one can have answered a host's reports but this leader.
 struct Fencing {
-  std::uint64_t epoch = 0;          // of this leader's takeover
-  double taken_over_at = 0;         // steady seconds
-  double peers_acked_at = -1;       // steady seconds; below 0: some peer may still answer under an older epoch
+  std::uint64_t epoch = 0;     // of this leader's takeover
+  double taken_over_at = 0;    // steady seconds
+  double peers_acked_at = -1;  // steady seconds; below 0: some peer may still answer under an older epoch
   // By zone, steady seconds: until when a peer there may have answered on its own, under this leader's epoch and under an
   // earlier one.
   std::vector<double> kept_until = {}, kept_before = {};
--- a/src/fleet/hearing.cpp
+++ b/src/fleet/hearing.cpp
@@ -27,11 +27,9 @@
     // (lienzo grown, troubles: 12 machines die as the leader ends, and their replicas waited for the whole
     // lease).
     if (!host.reported && (host.placed.empty() || host.address.empty())) continue;
-    const bool serves = std::any_of(host.placed.begin(), host.placed.end(), [&](const PieceRef& ref) {
-      return book.job(ref.job).spec.shape == Shape::service;
-    });
-    out.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : taken_over_at), serves,
-                   !host.placed.empty()});
+    const bool serves = std::any_of(host.placed.begin(), host.placed.end(),
+                                    [&](const PieceRef& ref) { return book.job(ref.job).spec.shape == Shape::service; });
+    out.push_back({HostIdx{i}, host.zone, now - (host.reported ? host.reported_at : taken_over_at), serves, !host.placed.empty()});
   }
   return out;
 }
--- a/src/fleet/silence.cpp
+++ b/src/fleet/silence.cpp
@@ -8,8 +8,7 @@
 namespace {
 constexpr double kSilentReports = 2.0;  // then it is asked, so that little is lost by a mistake
 constexpr double kSilentSlack = 0.5;
-constexpr double kBatchPatience =
-    1.5;  // times as long for other work: its deadlines are shorter than a lease
+constexpr double kBatchPatience = 1.5;  // times as long for other work: its deadlines are shorter than a lease
 constexpr double kFreshReports = 1.35;  // report periods within which all that can report have done so
 constexpr std::size_t kFew = 3;         // one in so many of a zone may be lost without a thought of a cut
 // With more than that silent, a cut is ruled out only when some of the zone are heard after all must have
@@ -42,8 +41,7 @@
     if (!m.serves && !m.works) continue;
     const Zone& z = zones[m.zone];
     const double expected = static_cast<double>(z.known) * kWindow / report_s;
-    const bool brisk =
-        expected >= kReportsAWindow && static_cast<double>(z.just_now) >= kOfExpected * expected;
+    const bool brisk = expected >= kReportsAWindow && static_cast<double>(z.just_now) >= kOfExpected * expected;
     if (brisk && m.silence_s > kLateReports * report_s) {
       out.push_back(m.host);
       continue;
@@ -51,8 +49,7 @@
     if (m.silence_s < (m.serves ? suspicious : kBatchPatience * suspicious)) continue;
     const std::size_t stale = z.known - z.fresh;
     const bool few = z.fresh > 0 && (stale <= 1 || kFew * stale <= z.known);
-    const bool no_cut =
-        z.fresh > 0 && kStillHeard * z.fresh >= z.known && m.silence_s > kSurelyCutReports * report_s;
+    const bool no_cut = z.fresh > 0 && kStillHeard * z.fresh >= z.known && m.silence_s > kSurelyCutReports * report_s;
     if ((few && expected < kReportsAWindow) || no_cut) out.push_back(m.host);
   }
   return out;
--- a/src/intake/report_exchange.cpp
+++ b/src/intake/report_exchange.cpp
@@ -7,13 +7,19 @@
 
 namespace {
 
-auto key_of(const PieceId& id, const std::uint64_t& attempt) { return std::tie(id.uid, id.task, attempt); }
+auto key_of(const PieceId& id, const std::uint64_t& attempt) {
+  return std::tie(id.uid, id.task, attempt);
+}
 
-bool same_attempt(const ReportedPiece& a, const ReportedPiece& b) { return a.attempt == b.attempt && a.id.task == b.id.task && a.id.uid == b.id.uid; }
+bool same_attempt(const ReportedPiece& a, const ReportedPiece& b) {
+  return a.attempt == b.attempt && a.id.task == b.id.task && a.id.uid == b.id.uid;
+}
 bool same_state(const ReportedPiece& a, const ReportedPiece& b) {
   return a.phase == b.phase && a.cause == b.cause && a.kept == b.kept;
 }
-bool same_piece(const ReportedPiece& a, const ReportedPiece& b) { return same_attempt(a, b) && same_state(a, b); }
+bool same_piece(const ReportedPiece& a, const ReportedPiece& b) {
+  return same_attempt(a, b) && same_state(a, b);
+}
 
 // Everything that a difference does not carry.
 bool same_machine(const Report& a, const Report& b) {
@@ -24,13 +30,13 @@
   std::vector<const ReportedPiece*> out;
   out.reserve(pieces.size());
   for (const auto& piece : pieces) out.push_back(&piece);
-  std::sort(out.begin(), out.end(),
-            [](const auto* a, const auto* b) { return key_of(a->id, a->attempt) < key_of(b->id, b->attempt); });
+  std::sort(out.begin(), out.end(), [](const auto* a, const auto* b) { return key_of(a->id, a->attempt) < key_of(b->id, b->attempt); });
   return out;
 }
 
 bool names_one_twice(const std::vector<const ReportedPiece*>& pieces) {
-  return std::adjacent_find(pieces.begin(), pieces.end(), [](const auto* a, const auto* b) { return same_attempt(*a, *b); }) != pieces.end();
+  return std::adjacent_find(pieces.begin(), pieces.end(), [](const auto* a, const auto* b) { return same_attempt(*a, *b); }) !=
+         pieces.end();
 }
 
 // Fills in what has changed between two lists of tasks; false where a difference can't tell.
@@ -66,7 +72,8 @@
 }
 
 Report from_whole(const ReportDelta& delta) {
-  return {delta.host, delta.address, delta.host_kind, delta.yard, delta.loaner, delta.tenure, delta.serial, delta.epoch, delta.recall_s, delta.pieces};
+  return {delta.host,   delta.address, delta.host_kind, delta.yard,     delta.loaner,
+          delta.tenure, delta.serial,  delta.epoch,     delta.recall_s, delta.pieces};
 }
 
 void apply_difference(const ReportDelta& delta, std::vector<ReportedPiece>& pieces) {
@@ -76,8 +83,10 @@
   });
   for (const auto& changed : delta.pieces) {
     const auto known = std::find_if(pieces.begin(), pieces.end(), [&](const ReportedPiece& p) { return same_attempt(p, changed); });
-    if (known != pieces.end()) *known = changed;
-    else pieces.push_back(changed);
+    if (known != pieces.end())
+      *known = changed;
+    else
+      pieces.push_back(changed);
   }
 }
 
@@ -126,8 +135,10 @@
   Report& report = it->second;
   if (report.tenure != delta.tenure || report.serial != delta.base_serial) return nullptr;
   report.repeats.reset();
-  if (delta.kind == ReportDelta::Kind::unchanged) report.repeats = report.serial;
-  else apply_difference(delta, report.pieces);
+  if (delta.kind == ReportDelta::Kind::unchanged)
+    report.repeats = report.serial;
+  else
+    apply_difference(delta, report.pieces);
   report.serial = delta.serial;
   report.epoch = delta.epoch;
   report.recall_s = delta.recall_s;
--- a/src/intake/worker_balance.cpp
+++ b/src/intake/worker_balance.cpp
@@ -6,17 +6,21 @@
 namespace thistle {
 
 namespace {
-constexpr double kLately = 3.0;           // seconds: an intake speaks each second at least
-constexpr double kLeaderWeight = 0.5;     // of an intake's share: the leader has the rest of the work
-constexpr double kTolerance = 1.2;        // times its share a controller may hold
-constexpr double kToleranceWorkers = 4;   // and so many more
-constexpr double kEvenOutSeconds = 30;    // all workers may be moved once within this time
+constexpr double kLately = 3.0;          // seconds: an intake speaks each second at least
+constexpr double kLeaderWeight = 0.5;    // of an intake's share: the leader has the rest of the work
+constexpr double kTolerance = 1.2;       // times its share a controller may hold
+constexpr double kToleranceWorkers = 4;  // and so many more
+constexpr double kEvenOutSeconds = 30;   // all workers may be moved once within this time
 constexpr double kMostAtOnce = 16;
 }  // namespace
 
-void WorkerBalance::heard(const std::string& intake, std::uint32_t workers, double now) { intakes_[intake] = {workers, now}; }
+void WorkerBalance::heard(const std::string& intake, std::uint32_t workers, double now) {
+  intakes_[intake] = {workers, now};
+}
 
-bool WorkerBalance::lately(const Intake& intake, double now) const { return now - intake.heard_at < kLately; }
+bool WorkerBalance::lately(const Intake& intake, double now) const {
+  return now - intake.heard_at < kLately;
+}
 
 std::size_t WorkerBalance::at_intakes(double now) const {
   std::size_t out = 0;
@@ -65,7 +69,8 @@
   const auto* other = emptiest({}, now);
   if (!other) return std::nullopt;
   const double share = intake_share(now);
-  if (static_cast<double>(own) <= share * kLeaderWeight * kTolerance + kToleranceWorkers || other->second.workers > share) return std::nullopt;
+  if (static_cast<double>(own) <= share * kLeaderWeight * kTolerance + kToleranceWorkers || other->second.workers > share)
+    return std::nullopt;
   if (allowed(1, now) == 0) return std::nullopt;
   const std::string to = other->first;
   ++intakes_[to].workers;
--- a/src/ledger/reader.cpp
+++ b/src/ledger/reader.cpp
@@ -20,8 +20,8 @@
   }
   // First the level: what is written at one that this build does not have need not look right to it.
   if (row.entry.level < least_ || row.entry.level > most_)
-    return fail(row.key, "it is of state level " + std::to_string(row.entry.level) + ", and this build reads " +
-                             std::to_string(least_) + " to " + std::to_string(most_));
+    return fail(row.key, "it is of state level " + std::to_string(row.entry.level) + ", and this build reads " + std::to_string(least_) +
+                             " to " + std::to_string(most_));
   if (!row.unreadable.empty()) return fail(row.key, row.unreadable);
   const auto n = slots_at(row.entry.level) ? row.entry.n : number;
   taken_.push_back({n, {number, row.stamp}, std::move(row.entry)});
@@ -50,15 +50,14 @@
   if (checked_at(entry.level) && entries_ > 0) {
     // The first entry kept is linked to ones that are gone, and one behind an entry of level 1 to none.
     if (entry.before != found_.link)
-      return fail(key, "it does not follow entry " + std::to_string(found_.next - 1) +
-                           ": one between them is missing, or one before it is older");
+      return fail(
+          key, "it does not follow entry " + std::to_string(found_.next - 1) + ": one between them is missing, or one before it is older");
   }
   for (const auto& record : entry.records) {
     book_.apply(record);
     if (const auto fact = Rewriter::fact_of(record, book_)) found_.rewriter.begins(n, *fact);
   }
-  for (; jobs_ < book_.job_count(); ++jobs_)
-    found_.rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(jobs_)});
+  for (; jobs_ < book_.job_count(); ++jobs_) found_.rewriter.begins(n, JobIdx{static_cast<std::uint32_t>(jobs_)});
   if (entries_ == 0) found_.first = n;
   if (entry.level != found_.level) found_.same_level_from = n;
   found_.level = entry.level;
--- a/src/ledger/rewriter.cpp
+++ b/src/ledger/rewriter.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr std::size_t kFewEntries = 8;  // a ledger this short is left as it is
 constexpr std::size_t kJobBytes = 400, kTaskBytes = 12, kRangeBytes = 24,
-                      kEndedBytes = 24;  // rough sizes in the ledger
+                      kEndedBytes = 24;                   // rough sizes in the ledger
 constexpr std::size_t kLeastItems = 4, kMostItems = 100;  // ranges in one record, a placement's head counting as three
 
 std::uint64_t most_entries(const Book& book, std::size_t entry_bytes, double longer) {
@@ -29,7 +29,9 @@
   return std::clamp(room / kRangeBytes, kLeastItems, kMostItems);
 }
 constexpr std::uint32_t kTeams = 1u << 31;  // facts of teams: above all jobs
-bool is_fact(JobIdx j) { return j.v >= kTeams; }
+bool is_fact(JobIdx j) {
+  return j.v >= kTeams;
+}
 Record fact(JobIdx j, const Book& book) {
   if (!j.valid()) return FlavorsRecord{book.flavors()};
   return *book.accounts().team(TeamIdx{j.v - kTeams}).record;
@@ -50,8 +52,8 @@
   begin_there_[entry].push_back(job);
 }
 
-std::vector<Rewriter::Item> Rewriter::next(const Book& book, std::uint64_t first, std::uint64_t next,
-                                           std::size_t entry_bytes, double longer) const {
+std::vector<Rewriter::Item> Rewriter::next(const Book& book, std::uint64_t first, std::uint64_t next, std::size_t entry_bytes,
+                                           double longer) const {
   if (next - first <= most_entries(book, entry_bytes, longer)) return {};
   return oldest(book, next, entry_bytes / 2);
 }
--- a/src/ledger/rewriter.hpp
+++ b/src/ledger/rewriter.hpp
@@ -30,8 +30,8 @@
   // What to write next so that the oldest entry can go; nothing while the ledger is short for what the book
   // holds. `next` is the number of the entry after the newest, `entry_bytes` about what one entry holds; `longer`:
   // entries kept for each that the book itself would take.
-  [[nodiscard]] std::vector<Item> next(const Book& book, std::uint64_t first, std::uint64_t next,
-                                       std::size_t entry_bytes, double longer = kLogFactor) const;
+  [[nodiscard]] std::vector<Item> next(const Book& book, std::uint64_t first, std::uint64_t next, std::size_t entry_bytes,
+                                       double longer = kLogFactor) const;
   static constexpr double kLogFactor = 2;
   // The same for the oldest entry's jobs however short the ledger is, about `budget` bytes at a time: entries
   // of a level that is no longer written go this way.
--- a/src/ledger/tail.cpp
+++ b/src/ledger/tail.cpp
@@ -10,9 +10,9 @@
 namespace {
 constexpr std::uint32_t kWidestLevel = UINT32_MAX;  // of all, the one whose records say the most
 constexpr std::size_t kEndedInRecord = 100;
-constexpr std::size_t kLookedBack = 256;  // records of the queue
-constexpr std::size_t kMostJoined = 40;   // ranges of ends in one record: well inside an entry
-constexpr std::size_t kEndedExtras = 30;  // bytes, of an ended job whose end must stay known
+constexpr std::size_t kLookedBack = 256;   // records of the queue
+constexpr std::size_t kMostJoined = 40;    // ranges of ends in one record: well inside an entry
+constexpr std::size_t kEndedExtras = 30;   // bytes, of an ended job whose end must stay known
 constexpr std::size_t kItemsBeside = 250;  // bytes kept for a job's tasks beside its description
 constexpr double kRecordShare = 0.9;       // of an entry's room, for one record
 constexpr std::size_t kRemovesACommit = 2;
@@ -129,8 +129,7 @@
   const auto fit = [&](const Record& record) {
     const auto encoded = encode_record(record, level_);
     const auto& text = encoded.text;
-    if (text.size() + head > limits.value_bytes)
-      out.too_large.push_back(std::to_string(text.size()) + " bytes: " + text.substr(0, 60));
+    if (text.size() + head > limits.value_bytes) out.too_large.push_back(std::to_string(text.size()) + " bytes: " + text.substr(0, 60));
     const auto& last = entries.back();
     if (!last.records.empty() && last.records.size() + text.size() + head > limits.value_bytes) {
       if (entries.size() >= limits.puts) return false;
@@ -146,8 +145,7 @@
   auto& rewrites = out.rewrites;
   rewrites = rewriter_.next(book, first_, next_, limits.value_bytes, limits.longer);
   // Entries of another level go a little sooner than the ledger's length asks for.
-  if (rewrites.empty() && old_entries())
-    rewrites = rewriter_.oldest(book, tail_stamp_ ? next_ : next_ + 1, limits.value_bytes / 8);
+  if (rewrites.empty() && old_entries()) rewrites = rewriter_.oldest(book, tail_stamp_ ? next_ : next_ + 1, limits.value_bytes / 8);
   EndedRecord ended[2] = {{JobStatus::done, {}}, {JobStatus::aborted, {}}};
   std::size_t ended_bytes[2] = {0, 0};
   bool all_fit = true;
@@ -157,9 +155,8 @@
     e = {e.status, {}};
   };
   // Ended jobs are joined into few records; where these do not fit, nothing counts as written anew.
-  std::stable_partition(rewrites.begin(), rewrites.end(), [](const Rewriter::Item& r) {
-    return std::holds_alternative<EndedRecord>(r.record);
-  });
+  std::stable_partition(rewrites.begin(), rewrites.end(),
+                        [](const Rewriter::Item& r) { return std::holds_alternative<EndedRecord>(r.record); });
   for (auto& r : rewrites) {
     if (const auto* e = std::get_if<EndedRecord>(&r.record)) {
       auto& to = ended[e->status == JobStatus::aborted];
@@ -177,8 +174,8 @@
     // A level without a form for teams' terms is lowered to only where they are the settings'.
     // A list of machine types that fits into no entry is each leader's own, from the cloud.
     const auto* flavors = std::get_if<FlavorsRecord>(&r.record);
-    const bool no_form = (std::holds_alternative<TeamRecord>(r.record) && !teams_at(level_)) ||
-                         (flavors && !takes(*flavors, limits.value_bytes));
+    const bool no_form =
+        (std::holds_alternative<TeamRecord>(r.record) && !teams_at(level_)) || (flavors && !takes(*flavors, limits.value_bytes));
     if (!no_form && !fit(r.record)) break;
     out.rewritten_in.push_back(entries.back().n);
   }
@@ -199,8 +196,8 @@
   const auto written_from = tail_as_it_was ? 1u : 0u;
   // The oldest entries in which no job begins any more. One entry stays, whatever it holds: an empty ledger would be a new
   // fleet's.
-  const auto below = std::min({rewriter_.oldest_needed(next_), entries.front().n + (nothing ? 0 : written_from),
-                               nothing ? next_ - 1 : next_});
+  const auto below =
+      std::min({rewriter_.oldest_needed(next_), entries.front().n + (nothing ? 0 : written_from), nothing ? next_ - 1 : next_});
   shorten(out, below, nothing ? 0 : entries.size() - written_from, limits);
   if (nothing) return out;
   // Each is linked to the one before, the one that is not written again included.
@@ -210,9 +207,7 @@
     if (i > 0) e.before = entries[i - 1].link;
     said.n = e.n;
     const bool unchanged = i < written_from && tail_stamp_ != 0;
-    e.link = unchanged            ? tail_link_
-             : checked_at(level_) ? link_of(e.before, e.n, check_of(said, e.digest))
-                                  : 0;
+    e.link = unchanged ? tail_link_ : checked_at(level_) ? link_of(e.before, e.n, check_of(said, e.digest)) : 0;
   }
   // A new entry hangs on the one before it, too. Carried out late, after newer ones of the same lead had removed it again, it
   // found its key as absent as at first and came back: at levels 2 and 3 a ledger that nobody can read. What is removed goes
--- a/src/ledger/tail.hpp
+++ b/src/ledger/tail.hpp
@@ -63,15 +63,13 @@
   void write_at(std::uint32_t level);
   [[nodiscard]] std::uint32_t level() const { return level_; }
   // Some entries are of another level than the one that is written.
-  [[nodiscard]] bool old_entries() const {
-    return first_ < same_level_from_ || (!free_.empty() && !slots_at(level_));
-  }
+  [[nodiscard]] bool old_entries() const { return first_ < same_level_from_ || (!free_.empty() && !slots_at(level_)); }
   [[nodiscard]] std::uint64_t generation() const { return generation_; }
 
   struct Limits {
-    std::size_t value_bytes = 0;  // an entry stays below
-    std::size_t puts = 0;         // entries in one transaction
-    std::size_t ops = 0;          // puts and removes in one transaction
+    std::size_t value_bytes = 0;           // an entry stays below
+    std::size_t puts = 0;                  // entries in one transaction
+    std::size_t ops = 0;                   // puts and removes in one transaction
     double longer = Rewriter::kLogFactor;  // entries kept for each that the book would take
   };
   struct Draft {
@@ -119,8 +117,7 @@
   std::uint64_t tail_stamp_ = 0;  // of the newest entry, where it is this writer's and may be written anew
   std::string tail_;              // its records
   std::uint64_t tail_digest_ = 0;
-  std::uint64_t before_ =
-      0;  // link to what stands before the newest, or before the next where that is closed
+  std::uint64_t before_ = 0;  // link to what stands before the newest, or before the next where that is closed
   std::uint64_t tail_link_ = 0;
   Rewriter rewriter_;
   std::map<std::uint64_t, LedgerSlot> kept_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,28 +21,42 @@
   app.set_version_flag("--version", std::string("thistlefront ") + thistle::rollout::kBuild);
   app.add_option("--config", config, "the platform's settings file (TOML)")->required()->type_name("FILE");
   app.add_option("--weight", tuning.weight, "weight of a second waited in the key")
-      ->envname("THISTLEFRONT_WEIGHT")->check(CLI::Range(0.0, 1e6))->capture_default_str();
+      ->envname("THISTLEFRONT_WEIGHT")
+      ->check(CLI::Range(0.0, 1e6))
+      ->capture_default_str();
   app.add_option("--pass-period", tuning.pass_period_s, "least seconds between passes")
-      ->envname("THISTLEFRONT_PASS_PERIOD")->check(CLI::Range(0.01, 60.0))->capture_default_str();
+      ->envname("THISTLEFRONT_PASS_PERIOD")
+      ->check(CLI::Range(0.01, 60.0))
+      ->capture_default_str();
   app.add_option("--overrun", tuning.overrun_s, "seconds after the pass at which an overrun counts as ending")
-      ->envname("THISTLEFRONT_OVERRUN")->check(CLI::Range(0.1, 86400.0))->capture_default_str();
+      ->envname("THISTLEFRONT_OVERRUN")
+      ->check(CLI::Range(0.1, 86400.0))
+      ->capture_default_str();
   app.add_option("--hold-ms", tuning.hold_ms, "life of the leader's hold, milliseconds")
-      ->envname("THISTLEFRONT_HOLD_MS")->check(CLI::Range(500u, 600000u))->capture_default_str();
+      ->envname("THISTLEFRONT_HOLD_MS")
+      ->check(CLI::Range(500u, 600000u))
+      ->capture_default_str();
   app.add_option("--threads", tuning.threads, "threads that the process may have")
-      ->envname("THISTLEFRONT_THREADS")->check(CLI::Range(thistle::Budget::kLeastThreads, std::size_t{1000000}))
+      ->envname("THISTLEFRONT_THREADS")
+      ->check(CLI::Range(thistle::Budget::kLeastThreads, std::size_t{1000000}))
       ->capture_default_str();
   app.add_option("--state-level-most", tuning.state_level_most,
                  "highest state level that this controller lets be switched on; a majority held below the one that is on "
                  "lowers it")
-      ->envname("THISTLEFRONT_STATE_LEVEL_MOST")->check(CLI::Range(thistle::rollout::kLeastLevel, thistle::rollout::kMostLevel))
+      ->envname("THISTLEFRONT_STATE_LEVEL_MOST")
+      ->check(CLI::Range(thistle::rollout::kLeastLevel, thistle::rollout::kMostLevel))
       ->capture_default_str();
   app.add_option("--state-level-soak", tuning.state_level_soak_s,
                  "seconds for which all controllers must have had a state level before it is switched on")
-      ->envname("THISTLEFRONT_STATE_LEVEL_SOAK")->check(CLI::Range(0.0, 604800.0))->capture_default_str();
+      ->envname("THISTLEFRONT_STATE_LEVEL_SOAK")
+      ->check(CLI::Range(0.0, 604800.0))
+      ->capture_default_str();
   app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
-      ->envname("THISTLEFRONT_RENT")->capture_default_str();
+      ->envname("THISTLEFRONT_RENT")
+      ->capture_default_str();
   app.add_option("--intake", tuning.intake, "workers stay with any controller, which passes their reports to the leader in batches")
-      ->envname("THISTLEFRONT_INTAKE")->capture_default_str();
+      ->envname("THISTLEFRONT_INTAKE")
+      ->capture_default_str();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/planning/floor.cpp
+++ b/src/planning/floor.cpp
@@ -5,7 +5,7 @@
 namespace thistle {
 
 namespace {
-constexpr double kShare = 0.05;   // of the cores that come free
+constexpr double kShare = 0.05;    // of the cores that come free
 constexpr double kSavings = 20.0;  // seconds' worth of it at most
 }  // namespace
 
@@ -16,8 +16,7 @@
 }
 
 std::vector<Floor::Raised> Floor::raise(std::vector<Starving> starving) const {
-  std::stable_sort(starving.begin(), starving.end(),
-                   [](const Starving& a, const Starving& b) { return a.waited_s > b.waited_s; });
+  std::stable_sort(starving.begin(), starving.end(), [](const Starving& a, const Starving& b) { return a.waited_s > b.waited_s; });
   std::vector<Raised> out;
   double left = earned_;
   for (const auto& s : starving) {
--- a/src/planning/pass_pacing.cpp
+++ b/src/planning/pass_pacing.cpp
@@ -5,8 +5,8 @@
 namespace thistle {
 
 namespace {
-constexpr double kRestPerElapsed = 4.0;         // seconds of rest for each second that a pass took
-constexpr double kMostOfProcessor = 0.25;       // of the process's share, for planning
+constexpr double kRestPerElapsed = 4.0;    // seconds of rest for each second that a pass took
+constexpr double kMostOfProcessor = 0.25;  // of the process's share, for planning
 }  // namespace
 
 double rest_after_pass(const PassCost& cost, const PassPacing& pacing) {
--- a/src/planning/pass_pacing.hpp
+++ b/src/planning/pass_pacing.hpp
@@ -10,8 +10,8 @@
 };
 
 struct PassPacing {
-  double shortest_rest_s = 0.1;   // the operator's pass period
-  double processor_share = 1;     // of one core that this process may use; 0: not known, taken as a whole one
+  double shortest_rest_s = 0.1;  // the operator's pass period
+  double processor_share = 1;    // of one core that this process may use; 0: not known, taken as a whole one
 };
 
 // Seconds to rest before the next pass may begin. Planning is kept to a fixed part of the elapsed time and to a fixed part of
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -224,9 +224,7 @@
     struct Candidate {
       double t, serves, cost;
       std::size_t h;
-      bool operator<(const Candidate& o) const {
-        return serves != o.serves ? serves > o.serves : cost != o.cost ? cost > o.cost : h > o.h;
-      }
+      bool operator<(const Candidate& o) const { return serves != o.serves ? serves > o.serves : cost != o.cost ? cost > o.cost : h > o.h; }
     };
     std::priority_queue<Candidate> queue;
     const auto offer = [&](std::size_t h, double from) {
@@ -354,8 +352,8 @@
     return times.empty() ? kForever : times.top();
   }
 
-  std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(
-      PlanJob& job, const std::vector<std::pair<double, std::size_t>>& ordered, double t, double longest) {
+  std::vector<std::pair<std::size_t, std::uint32_t>> fit_at(PlanJob& job, const std::vector<std::pair<double, std::size_t>>& ordered,
+                                                            double t, double longest) {
     std::vector<std::pair<std::size_t, std::uint32_t>> out;
     auto zones = job.zone_used;
     std::uint32_t left = job.units;
@@ -389,9 +387,8 @@
     if (!plain(job)) return false;
     const auto it = hopeless_.find({job.kinds, job.yard, job.loaners});
     if (it == hopeless_.end()) return false;
-    return std::any_of(it->second.begin(), it->second.end(), [&](const Resources& r) {
-      return job.need.cores >= r.cores && job.need.ram_gb >= r.ram_gb;
-    });
+    return std::any_of(it->second.begin(), it->second.end(),
+                       [&](const Resources& r) { return job.need.cores >= r.cores && job.need.ram_gb >= r.ram_gb; });
   }
   void note_hopeless(const PlanJob& job) {
     if (!plain(job) || startable(job) == 0) return;
@@ -401,9 +398,7 @@
   }
 
   [[nodiscard]] bool holds_full() const { return plan_.holds.size() >= in_.most_holds; }
-  [[nodiscard]] bool lends(const PlanJob& job, std::size_t h) const {
-    return !borrows(job, in_.hosts[h]) || job.need.fits(lent_[h]);
-  }
+  [[nodiscard]] bool lends(const PlanJob& job, std::size_t h) const { return !borrows(job, in_.hosts[h]) || job.need.fits(lent_[h]); }
 
   const PlanInput& in_;
   std::vector<Profile> profiles_;
@@ -417,6 +412,8 @@
 
 }  // namespace
 
-Plan make_plan(const PlanInput& input) { return Planner(input).run(); }
+Plan make_plan(const PlanInput& input) {
+  return Planner(input).run();
+}
 
 }  // namespace thistle
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -15,7 +15,7 @@
   KindIdx kind;
   ZoneIdx zone;
   bool loaner = false;
-  Resources room;       // of the whole machine
+  Resources room;  // of the whole machine
   double fetch_gb_per_s = 0;
   double usable_until = kForever;
   struct Occupant {
@@ -41,19 +41,19 @@
   double pull_gb = 0;
   ImageIdx image;
   TeamIdx team;
-  int tier = 0;          // higher goes first, ahead of the key
+  int tier = 0;  // higher goes first, ahead of the key
   double key = 0;
   std::vector<KindIdx> kinds;  // empty: any
   ZoneIdx yard;                // not valid: any
   bool one_zone = false;
   bool loaners = false;
-  std::uint32_t zone_cap = UINT32_MAX;     // most of its tasks in a zone
-  std::vector<std::uint32_t> zone_used;    // by zone: its tasks that may be there
-  std::vector<std::uint32_t> host_used;    // by position in PlanInput::hosts; empty: none
-  std::vector<HostIdx> avoid;              // hosts it failed on
-  bool suspect = false;                    // fails wherever it runs: it makes no room and rents nothing
-  double run_within_s = 0;                 // services: what is left of the aim for their wait; 0: none, or past
-  double patience_s = 2;                   // a slot held no later than this is waited for; for later ones work is stopped
+  std::uint32_t zone_cap = UINT32_MAX;   // most of its tasks in a zone
+  std::vector<std::uint32_t> zone_used;  // by zone: its tasks that may be there
+  std::vector<std::uint32_t> host_used;  // by position in PlanInput::hosts; empty: none
+  std::vector<HostIdx> avoid;            // hosts it failed on
+  bool suspect = false;                  // fails wherever it runs: it makes no room and rents nothing
+  double run_within_s = 0;               // services: what is left of the aim for their wait; 0: none, or past
+  double patience_s = 2;                 // a slot held no later than this is waited for; for later ones work is stopped
 };
 
 struct TeamRoom {
@@ -62,9 +62,9 @@
 
 struct PlanInput {
   double now = 0;
-  double overrun_s = 30;          // an overrun counts as ending this long after the pass
-  std::size_t most_holds = 400;   // bound on held slots a pass, so that its time is bounded
-  double horizon = kForever;      // units with no slot before it are told apart, for renting
+  double overrun_s = 30;         // an overrun counts as ending this long after the pass
+  std::size_t most_holds = 400;  // bound on held slots a pass, so that its time is bounded
+  double horizon = kForever;     // units with no slot before it are told apart, for renting
   std::vector<PlanHost> hosts;
   std::vector<PlanJob> jobs;
   std::vector<TeamRoom> teams;
@@ -87,7 +87,7 @@
     std::uint32_t late = 0;  // of them, those without a slot before the horizon
   };
   std::vector<Unserved> unserved;
-  std::size_t looks = 0;     // machines looked at for a slot: what the pass costs
+  std::size_t looks = 0;  // machines looked at for a slot: what the pass costs
 };
 
 // Whether the job's tasks may run there at all, whatever room is free now.
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-constexpr double kServiceLoss = 1e6;   // stopping a replica costs its users more than any repeated work
-constexpr double kFreshStart = 30.0;   // a start stopped sooner than this counts for nothing
-constexpr double kImageWorth = 10.0;   // core seconds that may be lost for each that a replica need not wait for its image
-constexpr double kOfTurnover = 0.6;    // counted on
-constexpr double kStopTime = 0.5;      // until room made by stopping is free
-constexpr std::size_t kMostUnits = 64; // units that one pass makes room for
+constexpr double kServiceLoss = 1e6;    // stopping a replica costs its users more than any repeated work
+constexpr double kFreshStart = 30.0;    // a start stopped sooner than this counts for nothing
+constexpr double kImageWorth = 10.0;    // core seconds that may be lost for each that a replica need not wait for its image
+constexpr double kOfTurnover = 0.6;     // counted on
+constexpr double kStopTime = 0.5;       // until room made by stopping is free
+constexpr std::size_t kMostUnits = 64;  // units that one pass makes room for
 
 struct Candidate {
   JobIdx job;
@@ -29,7 +29,8 @@
   if (job.spec.shape == Shape::service) return kServiceLoss;
   double ran = p.running_at > 0 ? std::max(0.0, wall - p.running_at) : 0;
   if (job.spec.snapshot_every_s > 0) ran = std::min(ran, job.spec.snapshot_s);
-  return (ran + (wall - p.at < kFreshStart && starts_count.contains(job.spec.job_class) ? kFreshStart : 0)) * std::max(job.spec.need.cores, 0.1);
+  return (ran + (wall - p.at < kFreshStart && starts_count.contains(job.spec.job_class) ? kFreshStart : 0)) *
+         std::max(job.spec.need.cores, 0.1);
 }
 
 class Chooser {
@@ -94,8 +95,8 @@
     const auto& team = book_.teams()[victim.team.v];
     const auto& excess = excess_[victim.team.v];
     const bool cores = team.guarantee.cores > 0 && excess.cores >= victim.spec.need.cores;
-    const bool accelerators = team.guarantee.accelerators > 0 && victim.spec.need.accelerators > 0 &&
-                              excess.accelerators >= victim.spec.need.accelerators;
+    const bool accelerators =
+        team.guarantee.accelerators > 0 && victim.spec.need.accelerators > 0 && excess.accelerators >= victim.spec.need.accelerators;
     return cores || accelerators;
   }
 
@@ -284,6 +285,8 @@
 
 }  // namespace
 
-PreemptionPlan choose_victims(const PreemptionInput& in) { return Chooser(in).run(); }
+PreemptionPlan choose_victims(const PreemptionInput& in) {
+  return Chooser(in).run();
+}
 
 }  // namespace thistle
--- a/src/planning/renting.cpp
+++ b/src/planning/renting.cpp
@@ -6,11 +6,11 @@
 namespace thistle {
 
 namespace {
-constexpr double kUsualBoot = 1.6;       // times bootS within which nearly all machines are up
-constexpr double kBootSlack = 2.0;       // until the first report
-constexpr double kDeadBoot = 4.0;        // times bootS after which a machine is taken for dead
-constexpr unsigned kLateForEach = 2;     // late machines that may stand beside each one wanted
-constexpr double kDearer = 4.0;          // an offer without late machines is preferred up to this many times the price
+constexpr double kUsualBoot = 1.6;    // times bootS within which nearly all machines are up
+constexpr double kBootSlack = 2.0;    // until the first report
+constexpr double kDeadBoot = 4.0;     // times bootS after which a machine is taken for dead
+constexpr unsigned kLateForEach = 2;  // late machines that may stand beside each one wanted
+constexpr double kDearer = 4.0;       // an offer without late machines is preferred up to this many times the price
 }  // namespace
 
 double held_for(const Host& host, double steady) {
--- a/src/planning/renting.hpp
+++ b/src/planning/renting.hpp
@@ -36,10 +36,10 @@
 };
 struct RentingInput {
   const Book& book;
-  std::vector<Need> needs;          // most urgent first
-  const std::set<Offer>& refused;   // lately
+  std::vector<Need> needs;         // most urgent first
+  const std::set<Offer>& refused;  // lately
   double steady = 0;
-  unsigned most = 50;               // machines in one request
+  unsigned most = 50;  // machines in one request
 };
 struct Rental {
   Offer offer;
--- a/src/protocol/digest.cpp
+++ b/src/protocol/digest.cpp
@@ -47,9 +47,7 @@
       crc.process_byte('"');
       feed(crc, std::string_view(value.get_ref<const std::string&>()));
       return;
-    case Type::boolean:
-      crc.process_byte(value.get<bool>() ? 't' : 'f');
-      return;
+    case Type::boolean: crc.process_byte(value.get<bool>() ? 't' : 'f'); return;
     case Type::number_unsigned:
     case Type::number_integer:
     case Type::number_float: {
@@ -57,13 +55,10 @@
       const bool exact = value.is_number_float() || std::abs(number) <= kExact;
       crc.process_byte(exact ? '1' : '#');
       // Zero with and without its sign is the same number.
-      feed(crc,
-           exact ? std::bit_cast<std::uint64_t>(number == 0 ? 0.0 : number) : value.get<std::uint64_t>());
+      feed(crc, exact ? std::bit_cast<std::uint64_t>(number == 0 ? 0.0 : number) : value.get<std::uint64_t>());
       return;
     }
-    default:
-      crc.process_byte('0');
-      return;
+    default: crc.process_byte('0'); return;
   }
 }
 }  // namespace
@@ -89,8 +84,7 @@
 
 std::string digest_text(std::uint64_t digest) {
   std::string out(kDigits, '0');
-  for (std::size_t i = 0; i < kDigits; ++i, digest >>= 4)
-    out[kDigits - 1 - i] = "0123456789abcdef"[digest & 15];
+  for (std::size_t i = 0; i < kDigits; ++i, digest >>= 4) out[kDigits - 1 - i] = "0123456789abcdef"[digest & 15];
   return out;
 }
 
--- a/src/protocol/intake_messages.cpp
+++ b/src/protocol/intake_messages.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::uint8_t kVersion = 1;
-constexpr std::size_t kMostInBatch = 4096;        // reports
-constexpr std::size_t kMostInReport = 100000;     // tasks
+constexpr std::size_t kMostInBatch = 4096;     // reports
+constexpr std::size_t kMostInReport = 100000;  // tasks
 constexpr std::size_t kDeltaBytes = 96, kPieceBytes = 24, kTextBytes = 4;
 constexpr std::uint8_t kHasRecall = 1, kLoaner = 2, kKept = 1;
 constexpr double kMillis = 1000;
@@ -18,7 +18,9 @@
 std::uint32_t to_millis(double seconds) {
   return static_cast<std::uint32_t>(std::min(std::max(0.0, std::ceil(seconds * kMillis)), static_cast<double>(UINT32_MAX)));
 }
-double from_millis(std::uint32_t millis) { return millis / kMillis; }
+double from_millis(std::uint32_t millis) {
+  return millis / kMillis;
+}
 
 template <class Enum>
 Enum read_enum(Unpacker& in, Enum last, bool& valid, std::uint8_t first = 0) {
@@ -35,7 +37,9 @@
   return 0;
 }
 
-void write(Packer& out, const PieceId& id, std::uint64_t attempt) { out.text(id.uid).integer(id.task).integer(attempt); }
+void write(Packer& out, const PieceId& id, std::uint64_t attempt) {
+  out.text(id.uid).integer(id.task).integer(attempt);
+}
 AttemptKey read_key(Unpacker& in) {
   AttemptKey key;
   key.id.uid = in.text();
@@ -117,7 +121,9 @@
   return order;
 }
 
-Frame frame_of(PeerKind kind, Packer& out) { return {static_cast<std::uint8_t>(kind), out.take()}; }
+Frame frame_of(PeerKind kind, Packer& out) {
+  return {static_cast<std::uint8_t>(kind), out.take()};
+}
 bool begins_as(const Frame& frame, PeerKind kind, Unpacker& in) {
   return frame.kind == static_cast<std::uint8_t>(kind) && in.integer<std::uint8_t>() == kVersion;
 }
--- a/src/protocol/intake_messages.hpp
+++ b/src/protocol/intake_messages.hpp
@@ -31,14 +31,14 @@
   std::uint64_t base_serial = 0;         // not of a whole report
   std::string address, host_kind, yard;  // of a whole report alone
   bool loaner = false;
-  std::vector<ReportedPiece> pieces;     // all of them, or those that are new or have changed
-  std::vector<AttemptKey> removed;       // of a difference
+  std::vector<ReportedPiece> pieces;  // all of them, or those that are new or have changed
+  std::vector<AttemptKey> removed;    // of a difference
 };
 
 struct IntakeBatch {
-  std::string sender;            // label of the controller
-  std::uint64_t takeover = 0;    // epoch of the lead that it is meant for
-  std::uint32_t workers = 0;     // that the sender heard of lately
+  std::string sender;          // label of the controller
+  std::uint64_t takeover = 0;  // epoch of the lead that it is meant for
+  std::uint32_t workers = 0;   // that the sender heard of lately
   std::vector<ReportDelta> reports;
 };
 
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -19,7 +19,9 @@
   return j;
 }
 
-[[noreturn]] void bad(const char* field, const char* why) { throw Malformed(std::string(field) + ": " + why); }
+[[noreturn]] void bad(const char* field, const char* why) {
+  throw Malformed(std::string(field) + ": " + why);
+}
 
 const json* member(const json& j, const char* field) {
   auto it = j.find(field);
@@ -37,7 +39,9 @@
   if (s.size() > most) bad(field, "too long");
   return s;
 }
-std::string text(const json& j, const char* field) { return as_text(need(j, field), field); }
+std::string text(const json& j, const char* field) {
+  return as_text(need(j, field), field);
+}
 double as_amount(const json& m, const char* field) {
   if (!m.is_number()) bad(field, "not a number");
   const double v = m.get<double>();
@@ -46,7 +50,9 @@
   if (v > 1e12) bad(field, "too large");
   return v;
 }
-double amount(const json& j, const char* field) { return as_amount(need(j, field), field); }
+double amount(const json& j, const char* field) {
+  return as_amount(need(j, field), field);
+}
 double amount_or(const json& j, const char* field, double otherwise) {
   const json* m = member(j, field);
   return m ? as_amount(*m, field) : otherwise;
@@ -59,7 +65,9 @@
   }
   bad(field, "not a count");
 }
-std::uint64_t count(const json& j, const char* field) { return as_count(need(j, field), field); }
+std::uint64_t count(const json& j, const char* field) {
+  return as_count(need(j, field), field);
+}
 bool flag_or(const json& j, const char* field, bool otherwise) {
   const json* m = member(j, field);
   if (!m) return otherwise;
@@ -78,24 +86,19 @@
   Enum value;
 };
 constexpr Word<Shape> kShapes[] = {{"batch", Shape::batch}, {"group", Shape::group}, {"service", Shape::service}};
-constexpr Word<Rank> kRanks[] = {
-    {"prod", Rank::prod}, {"high", Rank::high}, {"standard", Rank::standard}, {"idle", Rank::idle}};
-constexpr Word<JobStatus> kStatuses[] = {{"queued", JobStatus::queued},
-                                         {"running", JobStatus::running},
-                                         {"done", JobStatus::done},
-                                         {"aborted", JobStatus::aborted}};
+constexpr Word<Rank> kRanks[] = {{"prod", Rank::prod}, {"high", Rank::high}, {"standard", Rank::standard}, {"idle", Rank::idle}};
+constexpr Word<JobStatus> kStatuses[] = {
+    {"queued", JobStatus::queued}, {"running", JobStatus::running}, {"done", JobStatus::done}, {"aborted", JobStatus::aborted}};
 constexpr Word<Phase> kPhases[] = {{"pulling", Phase::pulling},
                                    {"gathering", Phase::gathering},
                                    {"running", Phase::running},
                                    {"saving", Phase::saving},
                                    {"exited", Phase::exited}};
-constexpr Word<Cause> kCauses[] = {{"done", Cause::done},       {"halted", Cause::halted},
-                                   {"peers", Cause::peers},     {"alone", Cause::alone},
-                                   {"error", Cause::error},     {"no_room", Cause::no_room},
-                                   {"busy", Cause::busy},       {"unknown", Cause::unknown}};
-constexpr Word<Machine::Status> kMachineStatuses[] = {{"booting", Machine::Status::booting},
-                                                      {"running", Machine::Status::running},
-                                                      {"failed", Machine::Status::failed}};
+constexpr Word<Cause> kCauses[] = {{"done", Cause::done},   {"halted", Cause::halted},  {"peers", Cause::peers},
+                                   {"alone", Cause::alone}, {"error", Cause::error},    {"no_room", Cause::no_room},
+                                   {"busy", Cause::busy},   {"unknown", Cause::unknown}};
+constexpr Word<Machine::Status> kMachineStatuses[] = {
+    {"booting", Machine::Status::booting}, {"running", Machine::Status::running}, {"failed", Machine::Status::failed}};
 constexpr Word<Verb> kVerbs[] = {{"run", Verb::run}, {"kill", Verb::kill}, {"reap", Verb::reap}};
 
 template <class Enum, std::size_t N>
@@ -168,8 +171,7 @@
 Ranges parse_ranges(const json& j) {
   Ranges out;
   if (!j.is_array() || j.size() % 2) bad("ranges", "not pairs");
-  for (std::size_t i = 0; i < j.size(); i += 2)
-    out.push_back({j[i].get<std::uint32_t>(), j[i + 1].get<std::uint32_t>()});
+  for (std::size_t i = 0; i < j.size(); i += 2) out.push_back({j[i].get<std::uint32_t>(), j[i + 1].get<std::uint32_t>()});
   return out;
 }
 
@@ -237,15 +239,9 @@
 }
 
 json flavor_json(const Flavor& f) {
-  return {{"sku", f.name},
-          {"cores", f.room.cores},
-          {"accelerators", f.room.accelerators},
-          {"ramGb", f.room.ram_gb},
-          {"cacheGb", f.cache_gb},
-          {"fetchGbPerS", f.fetch_gb_per_s},
-          {"price", f.price},
-          {"marketPrice", f.market_price},
-          {"bootS", f.boot_s},
+  return {{"sku", f.name},          {"cores", f.room.cores},         {"accelerators", f.room.accelerators},
+          {"ramGb", f.room.ram_gb}, {"cacheGb", f.cache_gb},         {"fetchGbPerS", f.fetch_gb_per_s},
+          {"price", f.price},       {"marketPrice", f.market_price}, {"bootS", f.boot_s},
           {"yards", f.yards}};
 }
 Flavor flavor_from(const json& j) {
@@ -276,7 +272,9 @@
   return true;
 }
 
-Submission parse_submission(std::string_view body) { return submission_from(parse_object(body)); }
+Submission parse_submission(std::string_view body) {
+  return submission_from(parse_object(body));
+}
 
 std::string peek_uid(std::string_view body) {
   const json j = json::parse(body.begin(), body.end(), nullptr, false);
@@ -286,8 +284,8 @@
 }
 
 std::string status_body(const std::string& uid, JobStatus status, std::uint32_t done, std::uint32_t running) {
-  return "{\"uid\":\"" + uid + "\",\"status\":\"" + std::string(spell(status, kStatuses)) +
-         "\",\"done\":" + std::to_string(done) + ",\"running\":" + std::to_string(running) + "}";
+  return "{\"uid\":\"" + uid + "\",\"status\":\"" + std::string(spell(status, kStatuses)) + "\",\"done\":" + std::to_string(done) +
+         ",\"running\":" + std::to_string(running) + "}";
 }
 std::string brief_body(const std::string& uid, JobStatus status) {
   return "{\"uid\":\"" + uid + "\",\"status\":\"" + std::string(spell(status, kStatuses)) + "\"}";
@@ -331,17 +329,18 @@
   bool null() { return take({}); }
   bool boolean(bool v) { return take({.kind = Value::Kind::flag, .flag = v}); }
   bool number_integer(std::int64_t v) { return take({.kind = Value::Kind::real, .real = static_cast<double>(v)}); }
-  bool number_unsigned(std::uint64_t v) {
-    return take({.kind = Value::Kind::count, .count = v, .real = static_cast<double>(v)});
-  }
+  bool number_unsigned(std::uint64_t v) { return take({.kind = Value::Kind::count, .count = v, .real = static_cast<double>(v)}); }
   bool number_float(double v, const std::string&) { return take({.kind = Value::Kind::real, .real = v}); }
   bool string(std::string& v) { return take({.kind = Value::Kind::text, .text = &v}); }
   bool binary(std::vector<std::uint8_t>&) { return take({.kind = Value::Kind::other}); }
 
   bool start_object(std::size_t) {
-    if (depth_ == 0) object_ = true;
-    else if (depth_ == 2 && in_pieces_) piece_ = {}, has_ = {};
-    else if (!take({.kind = Value::Kind::other})) return false;
+    if (depth_ == 0)
+      object_ = true;
+    else if (depth_ == 2 && in_pieces_)
+      piece_ = {}, has_ = {};
+    else if (!take({.kind = Value::Kind::other}))
+      return false;
     ++depth_;
     return true;
   }
@@ -356,8 +355,10 @@
     return true;
   }
   bool start_array(std::size_t) {
-    if (depth_ == 1 && key_ == "pieces") in_pieces_ = seen_pieces_ = true, report.pieces.clear();
-    else if (!take({.kind = Value::Kind::other})) return false;
+    if (depth_ == 1 && key_ == "pieces")
+      in_pieces_ = seen_pieces_ = true, report.pieces.clear();
+    else if (!take({.kind = Value::Kind::other}))
+      return false;
     ++depth_;
     return true;
   }
@@ -424,15 +425,24 @@
     return true;
   }
   void of_report(const Value& v) {
-    if (key_ == "host") report.host = as_text(v, "host");
-    else if (key_ == "address") report.address = as_text(v, "address");
-    else if (key_ == "hostKind") report.kind = as_text(v, "hostKind");
-    else if (key_ == "yard") report.yard = as_text(v, "yard");
-    else if (key_ == "loaners") report.loaner = as_flag(v, "loaners");
-    else if (key_ == "tenure") report.tenure = as_count(v, "tenure"), tenure_ = true;
-    else if (key_ == "serial") report.serial = as_count(v, "serial"), serial_ = true;
-    else if (key_ == "epoch") report.epoch = as_count(v, "epoch"), epoch_ = true;
-    else if (key_ == "pieces") bad("pieces", "not a list");
+    if (key_ == "host")
+      report.host = as_text(v, "host");
+    else if (key_ == "address")
+      report.address = as_text(v, "address");
+    else if (key_ == "hostKind")
+      report.kind = as_text(v, "hostKind");
+    else if (key_ == "yard")
+      report.yard = as_text(v, "yard");
+    else if (key_ == "loaners")
+      report.loaner = as_flag(v, "loaners");
+    else if (key_ == "tenure")
+      report.tenure = as_count(v, "tenure"), tenure_ = true;
+    else if (key_ == "serial")
+      report.serial = as_count(v, "serial"), serial_ = true;
+    else if (key_ == "epoch")
+      report.epoch = as_count(v, "epoch"), epoch_ = true;
+    else if (key_ == "pieces")
+      bad("pieces", "not a list");
     else if (key_ == "recallS") {
       if (v.kind != Value::Kind::count && v.kind != Value::Kind::real) bad("recallS", "not a number");
       report.recall_s = std::max(0.0, v.real);
@@ -517,8 +527,7 @@
     if (!m.is_object()) bad("hosts", "not objects");
     Machine machine;
     machine.name = text(m, "uid");
-    if (const json* address = member(m, "address"); address && address->is_string())
-      machine.address = address->get<std::string>();
+    if (const json* address = member(m, "address"); address && address->is_string()) machine.address = address->get<std::string>();
     machine.kind = text(m, "hostKind");
     machine.yard = text(m, "yard");
     machine.loaner = flag_or(m, "loaners", false);
@@ -528,8 +537,7 @@
   }
   return page;
 }
-std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner,
-                      unsigned count) {
+std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner, unsigned count) {
   return json{{"rental", rental}, {"hostKind", kind}, {"yard", yard}, {"loaners", loaner}, {"count", count}}.dump();
 }
 std::vector<std::string> parse_rented(std::string_view body) {
@@ -538,12 +546,18 @@
   for (const auto& h : list(j, "hosts")) out.push_back(as_text(h, "hosts"));
   return out;
 }
-bool is_no_capacity(std::string_view body) { return body.find("no capacity") != std::string_view::npos; }
-std::string release_body(const std::vector<std::string>& names) { return json{{"hosts", names}}.dump(); }
+bool is_no_capacity(std::string_view body) {
+  return body.find("no capacity") != std::string_view::npos;
+}
+std::string release_body(const std::vector<std::string>& names) {
+  return json{{"hosts", names}}.dump();
+}
 
 // ---- state service
 
-std::string store_path(const std::string& key) { return "/store/" + key; }
+std::string store_path(const std::string& key) {
+  return "/store/" + key;
+}
 std::string list_path(const std::string& prefix, const std::string& from) {
   std::string out = "/store?prefix=" + prefix + "&page=1000";
   if (!from.empty()) out += "&from=" + from;
@@ -555,10 +569,13 @@
 std::string hold_path(std::uint64_t hold, bool renew) {
   return std::string(kHoldsPath) + "/" + std::to_string(hold) + (renew ? "/renew" : "");
 }
-std::string hold_body(unsigned life_ms) { return "{\"lifeMs\":" + std::to_string(life_ms) + "}"; }
-std::uint64_t parse_hold(std::string_view body) { return count(parse_object(body), "hold"); }
-std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts,
-                     const std::vector<std::string>& removes) {
+std::string hold_body(unsigned life_ms) {
+  return "{\"lifeMs\":" + std::to_string(life_ms) + "}";
+}
+std::uint64_t parse_hold(std::string_view body) {
+  return count(parse_object(body), "hold");
+}
+std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts, const std::vector<std::string>& removes) {
   std::string out = "{\"if\":[";
   const char* sep = "";
   for (const auto& c : conditions) {
@@ -582,7 +599,9 @@
   }
   return out + "]}";
 }
-std::uint64_t parse_rev(std::string_view body) { return count(parse_object(body), "ledgerRev"); }
+std::uint64_t parse_rev(std::string_view body) {
+  return count(parse_object(body), "ledgerRev");
+}
 std::vector<std::string> parse_failed(std::string_view body) {
   const json j = parse_object(body);
   std::vector<std::string> out;
@@ -601,7 +620,9 @@
 }
 }  // namespace
 
-Row parse_row(std::string_view body) { return row_from(parse_object(body)); }
+Row parse_row(std::string_view body) {
+  return row_from(parse_object(body));
+}
 Rows parse_rows(std::string_view body) {
   const json j = parse_object(body);
   Rows out;
@@ -649,8 +670,8 @@
     json operator()(const JobRecord& r) const {
       json placed = json::array();
       for (const auto& p : r.placed) placed.push_back({p.host, p.tenure, p.attempt, p.at, ranges_json(p.tasks)});
-      json out{"job", accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done),
-               std::move(placed), r.from, r.more, r.suspect};
+      json out{"job",  accept(r.accept), spell(r.status, kStatuses), r.attempts, ranges_json(r.done), std::move(placed), r.from,
+               r.more, r.suspect};
       if (r.ready_at > 0 && pipelines_at(level)) out.push_back({{"ready", r.ready_at}});
       return out;
     }
@@ -658,9 +679,7 @@
       if (!t) return nullptr;
       return {t->guarantee.cores, t->guarantee.accelerators, t->limit.cores, t->limit.accelerators};
     }
-    json operator()(const TeamRecord& r) const {
-      return {"team", r.name, terms(r.agreed), terms(r.proposed), r.leaving};
-    }
+    json operator()(const TeamRecord& r) const { return {"team", r.name, terms(r.agreed), terms(r.proposed), r.leaving}; }
     json operator()(const EndedRecord& r) const {
       json out{"ended", spell(r.status, kStatuses), r.uids};
       if (!pipelines_at(level)) return out;
@@ -704,8 +723,7 @@
   std::string out = "{";
   if (checked_at(head.level)) {
     out += "\"level\":" + std::to_string(head.level) + ",\"generation\":" + std::to_string(head.generation) + ",\"check\":\"" +
-           digest_text(check_of(head, records_digest)) + "\",\"before\":\"" +
-           digest_text(head.before) + "\",";
+           digest_text(check_of(head, records_digest)) + "\",\"before\":\"" + digest_text(head.before) + "\",";
     if (slots_at(head.level)) out += "\"n\":" + std::to_string(head.n) + ",";
     if (slots_at(head.level) || head.first > 0) out += "\"first\":" + std::to_string(head.first) + ",";
   }
@@ -727,8 +745,7 @@
   if (kind == "accept") return accept_from(j.at(1));
   if (kind == "start") {
     StartRecord r{j.at(1).get<std::string>(), j.at(2).get<std::uint64_t>(), j.at(3).get<double>(), {}};
-    for (const auto& p : j.at(4))
-      r.parts.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(), parse_ranges(p.at(2))});
+    for (const auto& p : j.at(4)) r.parts.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(), parse_ranges(p.at(2))});
     return r;
   }
   if (kind == "done") {
@@ -752,8 +769,8 @@
     r.attempts = j.at(3).get<std::uint64_t>();
     r.done = parse_ranges(j.at(4));
     for (const auto& p : j.at(5))
-      r.placed.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(),
-                          p.at(2).get<std::uint64_t>(), p.at(3).get<double>(), parse_ranges(p.at(4))});
+      r.placed.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>(), p.at(2).get<std::uint64_t>(), p.at(3).get<double>(),
+                          parse_ranges(p.at(4))});
     if (size > 7) {
       r.from = j.at(6).get<std::uint32_t>();
       r.more = j.at(7).get<bool>();
@@ -813,9 +830,13 @@
 }
 }  // namespace
 
-LedgerEntry parse_entry(std::string_view value) { return entry_from(parse_object(value)); }
+LedgerEntry parse_entry(std::string_view value) {
+  return entry_from(parse_object(value));
+}
 
-bool parse_changed(std::string_view body) { return !list(parse_object(body), "events").empty(); }
+bool parse_changed(std::string_view body) {
+  return !list(parse_object(body), "events").empty();
+}
 
 EntryPage parse_entries(std::string_view body) {
   const json j = parse_object(body);
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -47,8 +47,7 @@
   bool truncated = false;
 };
 MachinePage parse_machines(std::string_view body);
-std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner,
-                      unsigned count);
+std::string rent_body(const std::string& rental, const std::string& kind, const std::string& yard, bool loaner, unsigned count);
 std::vector<std::string> parse_rented(std::string_view body);
 // Whether a refusal says that there are no such machines, and not that the cloud has trouble.
 bool is_no_capacity(std::string_view body);
@@ -77,8 +76,7 @@
   std::string value;  // JSON text
   std::uint64_t hold = 0;
 };
-std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts,
-                     const std::vector<std::string>& removes);
+std::string txn_body(const std::vector<Condition>& conditions, const std::vector<Put>& puts, const std::vector<std::string>& removes);
 std::uint64_t parse_rev(std::string_view body);
 std::vector<std::string> parse_failed(std::string_view body);
 struct Row {
@@ -100,14 +98,22 @@
 // Ledger entries. Level 1: {"seq":N,"records":[...]}. From level 2 on:
 // {"level":2,"generation":G,"seq":N,"check":"…","before":"…","records":[...]}, where a record may end with an object of named
 // extras, which a reader that does not know them passes over.
-inline constexpr bool checked_at(std::uint32_t level) { return level > 1; }
+inline constexpr bool checked_at(std::uint32_t level) {
+  return level > 1;
+}
 // From level 3 on entries hold the terms of teams.
-inline constexpr bool teams_at(std::uint32_t level) { return level > 2; }
+inline constexpr bool teams_at(std::uint32_t level) {
+  return level > 2;
+}
 // From level 4 on jobs may wait for others.
-inline constexpr bool pipelines_at(std::uint32_t level) { return level > 3; }
+inline constexpr bool pipelines_at(std::uint32_t level) {
+  return level > 3;
+}
 // And an entry tells its number, which its key no longer does: a key is used again for a new entry when the one in it is
 // not needed any more, which the newest entry tells. So shortening the ledger costs no changes.
-inline constexpr bool slots_at(std::uint32_t level) { return level > 3; }
+inline constexpr bool slots_at(std::uint32_t level) {
+  return level > 3;
+}
 struct EntryHead {
   std::uint32_t level = 1;
   std::uint64_t generation = 0;
@@ -117,7 +123,7 @@
   std::uint64_t first = 0;   // number of the first entry that is needed; 0: all that are there
 };
 struct LedgerEntry : EntryHead {
-  std::uint64_t check = 0;   // found to be right
+  std::uint64_t check = 0;  // found to be right
   std::vector<Record> records;
 };
 struct EncodedRecord {
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 constexpr double kLongestValidity = 1e6;  // seconds; beyond it an answer is valid for good
-Frame frame_of(PeerKind kind, Packer& packer) { return {static_cast<std::uint8_t>(kind), packer.take()}; }
-bool is(const Frame& frame, PeerKind kind) { return frame.kind == static_cast<std::uint8_t>(kind); }
+Frame frame_of(PeerKind kind, Packer& packer) {
+  return {static_cast<std::uint8_t>(kind), packer.take()};
+}
+bool is(const Frame& frame, PeerKind kind) {
+  return frame.kind == static_cast<std::uint8_t>(kind);
+}
 }  // namespace
 
 Frame pack(const Beat& beat) {
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -10,11 +10,11 @@
 namespace thistle {
 
 enum class PeerKind : std::uint8_t {
-  beat = 1,    // leader -> peer: who leads, at which epoch
-  beat_ack,    // peer -> leader: the highest epoch it knows; it answers no worker under a lower one
-  call,        // a user's request or a worker's report, forwarded to the leader
+  beat = 1,  // leader -> peer: who leads, at which epoch
+  beat_ack,  // peer -> leader: the highest epoch it knows; it answers no worker under a lower one
+  call,      // a user's request or a worker's report, forwarded to the leader
   reply,
-  intake_batch,   // intake -> leader: workers' reports (protocol/intake_messages)
+  intake_batch,  // intake -> leader: workers' reports (protocol/intake_messages)
   intake_answer,
 };
 
--- a/src/protocol/rollout_messages.cpp
+++ b/src/protocol/rollout_messages.cpp
@@ -34,19 +34,18 @@
 }  // namespace
 
 std::string able_value(const Able& able) {
-  json j{{"least", able.least},
-         {"most", able.most},
-         {"wants", able.wants},
-         {"incarnation", able.incarnation},
-         {"build", able.build}};
+  json j{{"least", able.least}, {"most", able.most}, {"wants", able.wants}, {"incarnation", able.incarnation}, {"build", able.build}};
   if (able.teams != 0) j["teams"] = digest_text(able.teams);
   return j.dump();
 }
 
 Able parse_able(std::string_view value) {
   return read(value, "roster", [](const json& j) {
-    return Able{level_of(j, "least"), level_of(j, "most"), level_of(j, "wants"),
-                j.at("incarnation").get<std::uint64_t>(), j.at("build").get<std::string>(),
+    return Able{level_of(j, "least"),
+                level_of(j, "most"),
+                level_of(j, "wants"),
+                j.at("incarnation").get<std::uint64_t>(),
+                j.at("build").get<std::string>(),
                 j.contains("teams") ? parse_digest(j.at("teams").get<std::string>()) : 0};
   });
 }
@@ -68,9 +67,7 @@
 }
 
 Ready parse_ready(std::string_view value) {
-  return read(value, kReadyKey, [](const json& j) {
-    return Ready{level_of(j, "level"), j.at("at").get<double>()};
-  });
+  return read(value, kReadyKey, [](const json& j) { return Ready{level_of(j, "level"), j.at("at").get<double>()}; });
 }
 
 std::string parked_leader_value(std::uint32_t level) {
@@ -128,8 +125,7 @@
   able.incarnation = u.integer<std::uint64_t>();
   able.build = u.text();
   able.teams = u.integer<std::uint64_t>();
-  if (!u.ok() || able.least < 1 || able.least > able.most || able.wants < 1 || able.wants > able.most)
-    return std::nullopt;
+  if (!u.ok() || able.least < 1 || able.least > able.most || able.wants < 1 || able.wants > able.most) return std::nullopt;
   return able;
 }
 
--- a/src/protocol/rollout_messages.hpp
+++ b/src/protocol/rollout_messages.hpp
@@ -24,8 +24,7 @@
 // Which level is on. Where there is no such record, level 1 is.
 struct LevelOn {
   std::uint32_t level = 1;
-  std::uint32_t towards =
-      0;  // entries are written at this lower one, until none of the level that is on is left; 0: no
+  std::uint32_t towards = 0;  // entries are written at this lower one, until none of the level that is on is left; 0: no
   [[nodiscard]] std::uint32_t writes() const { return towards != 0 ? towards : level; }
   friend bool operator==(const LevelOn&, const LevelOn&) = default;
 };
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,12 +1,13 @@
 #include "protocol/settings.hpp"
 
 #define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
-#include <toml++/toml.h>
 
 #include "transport/socket.hpp"
 
@@ -17,8 +18,7 @@
 // Reads fields of one table and names the field in what it throws.
 class Reader {
  public:
-  Reader(const std::string& file, const toml::table& table, std::string prefix)
-      : file_(file), table_(table), prefix_(std::move(prefix)) {}
+  Reader(const std::string& file, const toml::table& table, std::string prefix) : file_(file), table_(table), prefix_(std::move(prefix)) {}
 
   [[noreturn]] void fail(const std::string& field, const std::string& why) const {
     throw std::runtime_error(file_ + ": " + prefix_ + field + ": " + why);
@@ -34,9 +34,7 @@
     if (!split_address(v)) fail(field, "not an address of the form 1.2.3.4:80");
     return v;
   }
-  double number(const char* field, double least, double most) const {
-    return checked(field, node(field).value<double>(), least, most);
-  }
+  double number(const char* field, double least, double most) const { return checked(field, node(field).value<double>(), least, most); }
   double number_or(const char* field, double otherwise, double least, double most) const {
     if (!table_.contains(field)) return otherwise;
     return number(field, least, most);
@@ -44,8 +42,7 @@
   std::uint64_t whole(const char* field, std::int64_t least, std::int64_t most) const {
     auto v = node(field).value_exact<std::int64_t>();
     if (!v) fail(field, "not a whole number");
-    if (*v < least || *v > most)
-      fail(field, "not from " + std::to_string(least) + " to " + std::to_string(most));
+    if (*v < least || *v > most) fail(field, "not from " + std::to_string(least) + " to " + std::to_string(most));
     return static_cast<std::uint64_t>(*v);
   }
   [[nodiscard]] bool has(const char* field) const { return table_.contains(field); }
--- a/src/protocol/types.hpp
+++ b/src/protocol/types.hpp
@@ -74,14 +74,11 @@
   }
   friend Resources operator+(Resources a, const Resources& b) { return a += b; }
   friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
-  friend Resources operator*(const Resources& a, double k) {
-    return {a.cores * k, a.accelerators * k, a.ram_gb * k};
-  }
+  friend Resources operator*(const Resources& a, double k) { return {a.cores * k, a.accelerators * k, a.ram_gb * k}; }
   // Whether this much can be taken out of `room`; sums of decimals are given a little slack.
   [[nodiscard]] bool fits(const Resources& room) const {
     constexpr double slack = 1e-6;
-    return cores <= room.cores + slack && accelerators <= room.accelerators + slack &&
-           ram_gb <= room.ram_gb + slack;
+    return cores <= room.cores + slack && accelerators <= room.accelerators + slack && ram_gb <= room.ram_gb + slack;
   }
   friend bool operator==(const Resources&, const Resources&) = default;
 };
@@ -172,8 +169,8 @@
 // What the ledger holds, in order. Replayed from the beginning they give the same book again.
 struct AcceptRecord {
   Submission job;
-  double draw = 0;      // the key's random number, drawn once at intake
-  double at = 0;        // wall seconds
+  double draw = 0;  // the key's random number, drawn once at intake
+  double at = 0;    // wall seconds
 };
 struct StartRecord {
   struct Part {
@@ -218,7 +215,7 @@
   std::vector<Placed> placed;
   // A job with many ranges comes in several records; each covers tasks from `from` on.
   std::uint32_t from = 0;
-  bool more = false;  // further ones follow
+  bool more = false;     // further ones follow
   bool suspect = false;  // it failed wherever it ran
   double ready_at = 0;   // wall seconds, of a job that waited for others and does no longer; 0: of any other
 };
@@ -244,8 +241,8 @@
   bool leaving = false;               // in no settings any more: takes no jobs, and keeps its terms
   friend bool operator==(const TeamRecord&, const TeamRecord&) = default;
 };
-using Record = std::variant<AcceptRecord, StartRecord, DoneRecord, OffRecord, CancelRecord, FlavorsRecord,
-                            JobRecord, EndedRecord, TeamRecord>;
+using Record =
+    std::variant<AcceptRecord, StartRecord, DoneRecord, OffRecord, CancelRecord, FlavorsRecord, JobRecord, EndedRecord, TeamRecord>;
 
 }  // namespace thistle
 
--- a/src/rollout/levels.cpp
+++ b/src/rollout/levels.cpp
@@ -16,17 +16,15 @@
 }
 
 // The highest level that all have and may switch on; `lacks` names one that lacks the next.
-std::uint32_t common_level(const Roster& roster, const std::vector<std::string>& expected, std::uint32_t ours,
-                           std::string& lacks) {
+std::uint32_t common_level(const Roster& roster, const std::vector<std::string>& expected, std::uint32_t ours, std::string& lacks) {
   std::uint32_t level = ours;
   for (const auto& label : expected) {
     const Able& able = able_of(roster, label);
     const auto has = std::min(able.most, able.wants);
     if (has >= level) continue;
     level = has;
-    lacks = label + (roster.contains(label)
-                         ? able.most > has ? " (held back by its flag)" : " (build " + able.build + ")"
-                         : " (never seen)");
+    lacks =
+        label + (roster.contains(label) ? able.most > has ? " (held back by its flag)" : " (build " + able.build + ")" : " (never seen)");
   }
   return level;
 }
@@ -87,9 +85,8 @@
   return out;
 }
 
-Step next_step(const Look& look, const Roster& roster, const std::vector<std::string>& expected,
-               const std::map<std::string, Able>& answers, const Leading& leading, double wall,
-               double soak_s) {
+Step next_step(const Look& look, const Roster& roster, const std::vector<std::string>& expected, const std::map<std::string, Able>& answers,
+               const Leading& leading, double wall, double soak_s) {
   using Kind = Step::Kind;
   // What it knows of the ledger holds for the level that it writes by alone.
   if (look.on != leading.level) {
@@ -196,11 +193,9 @@
   return step;
 }
 
-std::optional<Step> take_lead(const Look& look, const Able& able, const LeaderValue& value,
-                              std::uint64_t hold) {
+std::optional<Step> take_lead(const Look& look, const Able& able, const LeaderValue& value, std::uint64_t hold) {
   // Both what is there and what is being written must be within its reach.
-  if (look.on.level > able.most || look.on.writes() < able.least || look.on.level < able.least)
-    return std::nullopt;
+  if (look.on.level > able.most || look.on.writes() < able.least || look.on.level < able.least) return std::nullopt;
   Step step;
   step.after = look.on;
   step.conditions = {{lead_key(look.on.level), 0}, {kLevelKey, look.on_stamp}};
--- a/src/rollout/levels.hpp
+++ b/src/rollout/levels.hpp
@@ -59,9 +59,7 @@
   // metrics.
   std::string waits_for;
   [[nodiscard]] bool raises_epoch() const { return kind == Kind::raise || kind == Kind::lowered; }
-  [[nodiscard]] bool sets_level() const {
-    return raises_epoch() || kind == Kind::lower || kind == Kind::no_lower;
-  }
+  [[nodiscard]] bool sets_level() const { return raises_epoch() || kind == Kind::lower || kind == Kind::no_lower; }
   [[nodiscard]] std::size_t changes() const { return puts.size() + removes.size(); }
   [[nodiscard]] std::string body() const { return txn_body(conditions, puts, removes); }
 };
@@ -70,24 +68,22 @@
 struct Leading {
   LeaderValue value;
   std::uint64_t epoch = 0, hold = 0;
-  LevelOn level;            // as it knows it, and writes by
+  LevelOn level;              // as it knows it, and writes by
   bool old_entries = true;    // some of the ledger's entries are not of the level being written
   std::string no_older_form;  // what in the ledger can't be written at a lower level; empty: all can
 };
 
 // The next step of the leader. `expected`: the labels of all controllers of the settings. `answers`: what
 // peers answered last when asked directly; a build from before levels has Able{}.
-Step next_step(const Look& look, const Roster& roster, const std::vector<std::string>& expected,
-               const std::map<std::string, Able>& answers, const Leading& leading, double wall,
-               double soak_s);
+Step next_step(const Look& look, const Roster& roster, const std::vector<std::string>& expected, const std::map<std::string, Able>& answers,
+               const Leading& leading, double wall, double soak_s);
 
 // A controller's own roster record, at its start; nothing to write: Kind::none.
 Step enlist(const std::string& label, const Able& able, const Known* known);
 
 // The transaction that takes the lead, conditional on the level being still the one looked at. Nothing where
 // a build that reads only `able`'s levels must not lead.
-std::optional<Step> take_lead(const Look& look, const Able& able, const LeaderValue& value,
-                              std::uint64_t hold);
+std::optional<Step> take_lead(const Look& look, const Able& able, const LeaderValue& value, std::uint64_t hold);
 // Takes the key of a lead away whose process has ended, by whoever knows that for sure; nothing if another leads by then.
 Step leave_lead(const Look& look);
 // Raises the leader's epoch.
--- a/src/transport/acceptor.cpp
+++ b/src/transport/acceptor.cpp
@@ -15,14 +15,18 @@
 constexpr std::size_t kClosing = 16;  // connections beyond the bound that may be closing at a time
 }  // namespace
 
-void Acceptor::Connection::touch() { active_.store(steady_now(), std::memory_order_relaxed); }
+void Acceptor::Connection::touch() {
+  active_.store(steady_now(), std::memory_order_relaxed);
+}
 
 Acceptor::Acceptor(const std::string& address, std::size_t most, Routine routine)
     : listener_(listen_on(address)), most_(std::max<std::size_t>(most, 1)), routine_(std::move(routine)) {
   thread_ = std::jthread([this](std::stop_token stop) { accept_loop(stop); });
 }
 
-Acceptor::~Acceptor() { stop(); }
+Acceptor::~Acceptor() {
+  stop();
+}
 
 void Acceptor::stop() {
   if (!thread_.joinable()) return;
