--- a/src/transport/acceptor.hpp
+++ b/src/transport/acceptor.hpp
@@ -34,9 +34,7 @@
       double active = 0;  // steady seconds
       auto operator<=>(const Standing&) const = default;
     };
-    [[nodiscard]] Standing standing() const {
-      return {dear_.load(std::memory_order_relaxed), active_.load(std::memory_order_relaxed)};
-    }
+    [[nodiscard]] Standing standing() const { return {dear_.load(std::memory_order_relaxed), active_.load(std::memory_order_relaxed)}; }
     Standing filed_under_;  // where it stands in by_standing_; used by the accept loop alone
     std::list<std::unique_ptr<Connection>>::iterator place_;
     std::atomic<double> active_{0};
--- a/src/transport/frames.cpp
+++ b/src/transport/frames.cpp
@@ -10,9 +10,9 @@
 namespace {
 constexpr double kConnectTimeout = 0.5;  // between controllers; a silent one refuses nothing
 constexpr std::size_t kHeaderBytes = 6;
-constexpr std::uint32_t kLengthCounts = 2;     // of the header: version and kind
+constexpr std::uint32_t kLengthCounts = 2;  // of the header: version and kind
 constexpr std::size_t kFirstRead = 2048;
-}
+}  // namespace
 
 // Header and payload mostly come by one system call: a frame is asked for or answered before the next one is sent, so nothing
 // stands behind it.
@@ -47,8 +47,7 @@
 }
 
 FrameServer::FrameServer(const std::string& address, std::size_t most_connections, Handler handler)
-    : handler_(std::move(handler)),
-      acceptor_(address, most_connections, [this](Acceptor::Connection& c, std::stop_token stop) {
+    : handler_(std::move(handler)), acceptor_(address, most_connections, [this](Acceptor::Connection& c, std::stop_token stop) {
         Frame frame;
         ErrorCode ec;
         while (!stop.stop_requested() && read_frame(c.stream, frame, ec)) {
--- a/src/transport/frames.hpp
+++ b/src/transport/frames.hpp
@@ -60,8 +60,7 @@
       return 0;
     }
     std::uint64_t v = 0;
-    for (std::size_t i = 0; i < sizeof(Int); ++i)
-      v |= static_cast<std::uint64_t>(static_cast<unsigned char>(in_[i])) << (8 * i);
+    for (std::size_t i = 0; i < sizeof(Int); ++i) v |= static_cast<std::uint64_t>(static_cast<unsigned char>(in_[i])) << (8 * i);
     in_.remove_prefix(sizeof(Int));
     return static_cast<Int>(v);
   }
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -19,8 +19,7 @@
 
 HttpServer::HttpServer(const std::string& address, std::size_t most_connections, Handler handler)
     : handler_(std::move(handler)),
-      acceptor_(address, most_connections,
-                [this](Acceptor::Connection& c, std::stop_token stop) { serve(c, stop); }) {}
+      acceptor_(address, most_connections, [this](Acceptor::Connection& c, std::stop_token stop) { serve(c, stop); }) {}
 
 void HttpServer::serve(Acceptor::Connection& connection, std::stop_token stop) const {
   beast::flat_buffer buffer;
@@ -37,8 +36,8 @@
     bool keep = false;
     if (ec == http::error::body_limit) {
       reply = {413, R"({"error":"body: larger than 64 KiB"})", 0, true};
-    } else if (ec && ec.category() == make_error_code(http::error::bad_method).category() &&
-               ec != http::error::end_of_stream && ec != http::error::partial_message) {
+    } else if (ec && ec.category() == make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream &&
+               ec != http::error::partial_message) {
       reply = {400, R"({"error":"malformed HTTP request"})", 0, true};
     } else if (ec) {
       return;
@@ -90,11 +89,9 @@
   if (stream_) stream_->socket().shutdown();
 }
 
-HttpResult HttpClient::call(std::string_view method, const std::string& target, const std::string& body,
-                            double timeout_s, Late* late) {
+HttpResult HttpClient::call(std::string_view method, const std::string& target, const std::string& body, double timeout_s, Late* late) {
   const double deadline = steady_now() + timeout_s;
-  http::request<http::string_body> request(
-      http::string_to_verb(beast::string_view(method.data(), method.size())), target, 11);
+  http::request<http::string_body> request(http::string_to_verb(beast::string_view(method.data(), method.size())), target, 11);
   request.set(http::field::host, address_);
   if (!body.empty()) {
     request.set(http::field::content_type, "application/json");
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -63,8 +63,7 @@
 class HttpClient {
  public:
   explicit HttpClient(std::string address) : address_(std::move(address)) {}
-  HttpResult call(std::string_view method, const std::string& target, const std::string& body, double timeout_s,
-                  Late* late = nullptr);
+  HttpResult call(std::string_view method, const std::string& target, const std::string& body, double timeout_s, Late* late = nullptr);
   HttpResult get(const std::string& target, double timeout_s) { return call("GET", target, "", timeout_s); }
   HttpResult post(const std::string& target, const std::string& body, double timeout_s, Late* late = nullptr) {
     return call("POST", target, body, timeout_s, late);
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -19,7 +19,9 @@
 
 namespace {
 
-ErrorCode last_error() { return ErrorCode(errno, boost::system::system_category()); }
+ErrorCode last_error() {
+  return ErrorCode(errno, boost::system::system_category());
+}
 
 void no_delay(int fd) {
   int on = 1;
--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -35,12 +35,8 @@
     return records.size();
   }
   double limit(const std::string& team) const { return accounts.team(accounts.find(team)).limit.cores; }
-  double guarantee(const std::string& team) const {
-    return accounts.team(accounts.find(team)).guarantee.cores;
-  }
-  bool open(const std::string& team) const {
-    return accounts.find(team).valid() && accounts.open(accounts.find(team));
-  }
+  double guarantee(const std::string& team) const { return accounts.team(accounts.find(team)).guarantee.cores; }
+  bool open(const std::string& team) const { return accounts.find(team).valid() && accounts.open(accounts.find(team)); }
 
   Accounts accounts;
   std::map<std::string, std::optional<TeamsFile>> of;
@@ -124,9 +120,8 @@
 // above the limit that was in force for all, nor above that of any file that is known and was there at the
 // last look.
 TEST(Agreement, WhatIsInForceIsNeverAboveAnyKnownFile) {
-  const std::vector<std::optional<TeamsFile>> choices{
-      TeamsFile{{"red", terms(2, 10)}}, TeamsFile{{"red", terms(4, 6)}}, TeamsFile{{"red", terms(1, 14)}},
-      TeamsFile{}, std::nullopt};
+  const std::vector<std::optional<TeamsFile>> choices{TeamsFile{{"red", terms(2, 10)}}, TeamsFile{{"red", terms(4, 6)}},
+                                                      TeamsFile{{"red", terms(1, 14)}}, TeamsFile{}, std::nullopt};
   std::mt19937 random(3);
   for (int day = 0; day < 300; ++day) {
     Fleet f({*choices[0], *choices[0], *choices[0]});
@@ -140,8 +135,7 @@
       const auto& record = *f.accounts.team(f.accounts.find("red")).record;
       for (const auto& [label, file] : f.of)
         if (file && file->contains("red")) {
-          ASSERT_LE(f.limit("red"), file->at("red").limit.cores)
-              << "day " << day << " step " << step << " " << label;
+          ASSERT_LE(f.limit("red"), file->at("red").limit.cores) << "day " << day << " step " << step << " " << label;
         }
       ASSERT_LE(f.guarantee("red"), f.limit("red"));
       if (record.agreed) {
@@ -221,8 +215,7 @@
   book.apply(AcceptRecord{submission("j-1", 1, 1), 0.5, 100.02});
   EXPECT_GT(book.accepted_next(100.0, 0.025), 100.02) << "a clock that is behind, within its bound";
   EXPECT_EQ(book.accepted_next(100.5, 0.025), 100.5);
-  EXPECT_EQ(book.accepted_next(50, 0.025), 50)
-      << "a clock that was hours ahead once does not bend all that follow";
+  EXPECT_EQ(book.accepted_next(50, 0.025), 50) << "a clock that was hours ahead once does not bend all that follow";
 }
 
 TEST(Accounts, WhatWaitsIsToldWithItsReason) {
@@ -238,8 +231,7 @@
   accept("j-4", "green", 2, 40);
   const auto line = [&](std::size_t i) {
     const auto w = what_waits(book, 100).at(i);
-    return w.team + " " + std::to_string(w.tasks) + " " + name_of(w.what) + " " +
-           std::to_string(static_cast<int>(w.unstarted_s));
+    return w.team + " " + std::to_string(w.tasks) + " " + name_of(w.what) + " " + std::to_string(static_cast<int>(w.unstarted_s));
   };
   EXPECT_EQ(line(0), "blue 2 room 80");
   EXPECT_EQ(line(1), "green 2 terms 60");
--- a/tests/backing_test.cpp
+++ b/tests/backing_test.cpp
@@ -1,13 +1,14 @@
 // What the answers of peers prove, explored exhaustively: an earlier leader that is cut off from the state service and from its
 // successor, a third controller that hears either, both or none of them and may begin anew at any time.
 #include "duties/backing.hpp"
-#include "fleet/renewal.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <string>
 
+#include "fleet/renewal.hpp"
+
 namespace thistle {
 namespace {
 
--- a/tests/book_test.cpp
+++ b/tests/book_test.cpp
@@ -3,15 +3,19 @@
 
 #include <gtest/gtest.h>
 
-#include "protocol/messages.hpp"
 #include "jobs.hpp"
+#include "protocol/messages.hpp"
 
 namespace thistle {
 namespace {
 
-Submission submission(const std::string& uid, std::uint32_t pieces) { return thistle::submission(uid, pieces, 2); }
+Submission submission(const std::string& uid, std::uint32_t pieces) {
+  return thistle::submission(uid, pieces, 2);
+}
 
-Book fresh() { return book_of_red(10); }
+Book fresh() {
+  return book_of_red(10);
+}
 
 std::vector<Record> story() {
   return {AcceptRecord{submission("j-1", 4), 0.5, 1},
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -20,8 +20,8 @@
     for (std::size_t sockets : {256u, 900u, 3059u, 20000u}) {
       for (std::size_t peers : {0u, 2u, 4u, 6u}) {
         const auto b = split_budget(threads, sockets, peers);
-        const auto what = std::to_string(threads) + " threads, " + std::to_string(sockets) + " sockets, " +
-                          std::to_string(peers) + " peers";
+        const auto what =
+            std::to_string(threads) + " threads, " + std::to_string(sockets) + " sockets, " + std::to_string(peers) + " peers";
         EXPECT_LE(b.most_sockets(), sockets) << what;
         if (threads >= 300) {
           EXPECT_LE(b.most_threads(), threads) << what;
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -10,8 +10,7 @@
  protected:
   RigChecker() : checker({{"red", 3}}, 10) { checker.submitted({"j-1", "red", "batch", "x", 2, 2, 1}, 100); }
   std::string first() const {
-    return checker.broken().empty() ? ""
-                                    : checker.broken().front().substr(0, checker.broken().front().find(':'));
+    return checker.broken().empty() ? "" : checker.broken().front().substr(0, checker.broken().front().find(':'));
   }
   Checker checker;
 };
--- a/tests/close_looks_test.cpp
+++ b/tests/close_looks_test.cpp
@@ -17,7 +17,7 @@
 // newer. Neither the follower nor the first leader's connection to it gives the older one to its user then.
 struct Held {
   const char* name;
-  bool known;                      // the job is accepted before
+  bool known;                        // the job is accepted before
   const char *method, *path, *body;  // null: the submission of the job
   friend std::ostream& operator<<(std::ostream& out, const Held& h) { return out << h.name; }
 };
@@ -45,8 +45,9 @@
     HttpResult answer;
     double answered = 0;
     std::jthread user([&] {
-      answer = held.method ? cluster->ask(follower, held.method, "/v1/jobs/" + uid + held.path, "")
-                           : cluster->ask(follower, "POST", "/v1/jobs", held.body ? R"({"uid":")" + uid + held.body : testing_::job_body(uid));
+      answer = held.method
+                   ? cluster->ask(follower, held.method, "/v1/jobs/" + uid + held.path, "")
+                   : cluster->ask(follower, "POST", "/v1/jobs", held.body ? R"({"uid":")" + uid + held.body : testing_::job_body(uid));
       answered = steady_now();
     });
     wait(0.1);
@@ -54,7 +55,8 @@
     std::string newer;
     cluster->eventually(1.4, [&] {
       if (cluster->state.leader() != "host-" + std::to_string(next)) return false;
-      newer = status_in(held.known || !held.method ? cluster->ask(next, "POST", "/v1/jobs/" + uid + "/withdraw") : cluster->submit(next, uid));
+      newer =
+          status_in(held.known || !held.method ? cluster->ask(next, "POST", "/v1/jobs/" + uid + "/withdraw") : cluster->submit(next, uid));
       if (newer == "unknown") newer = status_in(cluster->submit(next, uid));  // what was refused is accepted
       return !newer.empty();
     });
@@ -74,8 +76,7 @@
 }
 INSTANTIATE_TEST_SUITE_P(Kinds, HeldAnswer,
                          testing::Values(Held{"poll", true, "GET", "", nullptr}, Held{"first", false, nullptr, nullptr, nullptr},
-                                         Held{"repeat", true, nullptr, nullptr, nullptr},
-                                         Held{"unknown", false, "GET", "", nullptr},
+                                         Held{"repeat", true, nullptr, nullptr, nullptr}, Held{"unknown", false, "GET", "", nullptr},
                                          Held{"withdrawal", false, "POST", "/withdraw", nullptr},
                                          Held{"malformed", false, nullptr, nullptr, "\",\"pieces\":-1}"}),
                          [](const auto& info) { return std::string(info.param.name); });
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -11,9 +11,8 @@
 
 namespace thistle::testing_ {
 
-inline constexpr const char* kFlavors =
-    R"({"hostKinds":[{"sku":"big","cores":8,"accelerators":0,"ramGb":32,"cacheGb":50,"fetchGbPerS":1,)"
-    R"("price":1,"marketPrice":0.5,"bootS":30,"yards":["x"]}]})";
+inline constexpr const char* kFlavors = R"({"hostKinds":[{"sku":"big","cores":8,"accelerators":0,"ramGb":32,"cacheGb":50,"fetchGbPerS":1,)"
+                                        R"("price":1,"marketPrice":0.5,"bootS":30,"yards":["x"]}]})";
 
 inline std::string job_body(const std::string& uid) {
   return R"({"uid":")" + uid +
@@ -24,9 +23,8 @@
 
 // Of an ordinary machine without tasks, in zone x.
 inline std::string report_body(const std::string& machine, const std::string& address, std::uint64_t serial, std::uint64_t epoch) {
-  return R"({"host":")" + machine + R"(","address":")" + address +
-         R"(","hostKind":"big","yard":"x","loaners":false,"tenure":1,"serial":)" + std::to_string(serial) + R"(,"epoch":)" +
-         std::to_string(epoch) + R"(,"recallS":null,"pieces":[]})";
+  return R"({"host":")" + machine + R"(","address":")" + address + R"(","hostKind":"big","yard":"x","loaners":false,"tenure":1,"serial":)" +
+         std::to_string(serial) + R"(,"epoch":)" + std::to_string(epoch) + R"(,"recallS":null,"pieces":[]})";
 }
 
 // What a user is told by an answer, as the rig's checker takes it; empty: nothing.
@@ -50,9 +48,7 @@
   // `tunings`: one for each controller, or one for all. `change`: is given the settings before any controller starts.
   explicit Cluster(std::size_t n, unsigned seed = 1, const std::vector<Tuning>& tunings = {one_level()},
                    const std::function<void(std::vector<Settings>&)>& change = {}, const HttpServer::Handler& cloud = {})
-      : state(n, seed),
-        cloud_address_(free_address()),
-        cloud_(cloud_address_, 20, [cloud](const HttpCall& c) -> HttpReply {
+      : state(n, seed), cloud_address_(free_address()), cloud_(cloud_address_, 20, [cloud](const HttpCall& c) -> HttpReply {
           if (cloud) return cloud(c);
           if (c.target == kFlavorsPath) return {200, kFlavors};
           if (c.method == "GET") return {200, R"({"hosts":[],"truncated":false})"};
@@ -110,14 +106,11 @@
   Settings& settings(std::size_t i) { return settings_[i]; }
   std::string level() { return state.value(kLevelKey); }
 
-  HttpResult ask(std::size_t node, const std::string& method, const std::string& path,
-                 const std::string& body = "") const {
+  HttpResult ask(std::size_t node, const std::string& method, const std::string& path, const std::string& body = "") const {
     HttpClient client(users[node]);
     return client.call(method, path, body, 5);
   }
-  HttpResult submit(std::size_t node, const std::string& uid) const {
-    return ask(node, "POST", "/v1/jobs", job_body(uid));
-  }
+  HttpResult submit(std::size_t node, const std::string& uid) const { return ask(node, "POST", "/v1/jobs", job_body(uid)); }
   // Until some controller accepts it; false when none did in time.
   bool submit_until(const std::string& uid, double within_s) const {
     for (const double until = steady_now() + within_s; steady_now() < until;) {
--- a/tests/custody_test.cpp
+++ b/tests/custody_test.cpp
@@ -35,8 +35,7 @@
   leader.answered(0, 99.5, 99);
   leader.sends();
   leader.answered(99.4, 100, 99);
-  EXPECT_NEAR(leader.kept_until(101), 1, 0.1)
-      << "it has the leader's word, and said when it last kept a lease";
+  EXPECT_NEAR(leader.kept_until(101), 1, 0.1) << "it has the leader's word, and said when it last kept a lease";
   for (double now = 100; now < 300; now += 0.5) leader.sends();
   EXPECT_EQ(leader.kept_until(110), 110) << "it may be keeping leases now";
   EXPECT_NEAR(leader.kept_until(300), 100 + kSpan, 0.1);
--- a/tests/dealings_test.cpp
+++ b/tests/dealings_test.cpp
@@ -1,12 +1,12 @@
 // What a report means, and what a worker is due: the invariants of dealings with workers.
 #include "fleet/dealings.hpp"
-#include "fleet/deafness.hpp"
-#include "fleet/renewal.hpp"
 
 #include <gtest/gtest.h>
 
 #include <set>
 
+#include "fleet/deafness.hpp"
+#include "fleet/renewal.hpp"
 #include "jobs.hpp"
 #include "protocol/messages.hpp"
 
@@ -37,8 +37,7 @@
   void start(const std::string& uid, std::uint64_t attempt, Range tasks, std::uint64_t tenure = 1) {
     book.apply(StartRecord{uid, attempt, 0, {{"m-1", tenure, {tasks}}}});
   }
-  ReportOutcome report(std::vector<ReportedPiece> pieces, bool by_report = true, std::uint64_t epoch = kEpoch,
-                       std::uint64_t tenure = 1) {
+  ReportOutcome report(std::vector<ReportedPiece> pieces, bool by_report = true, std::uint64_t epoch = kEpoch, std::uint64_t tenure = 1) {
     Report r;
     r.host = "m-1";
     r.address = "127.0.0.1:1";
@@ -62,8 +61,7 @@
   double steady = 100;
 };
 
-ReportedPiece piece(const std::string& uid, std::uint32_t task, std::uint64_t attempt, Phase phase,
-                    Cause cause = Cause::none) {
+ReportedPiece piece(const std::string& uid, std::uint32_t task, std::uint64_t attempt, Phase phase, Cause cause = Cause::none) {
   return {{uid, task}, attempt, phase, cause, false};
 }
 
@@ -218,8 +216,7 @@
   std::size_t tasks = 0;
   for (int h = 0; h < 40; ++h) {
     StartRecord::Part part{"m-" + std::to_string(100000 + h), 12, {}};
-    for (int i = 0; i < 256; ++i, ++tasks)
-      add_to(part.tasks, 20000 + static_cast<std::uint32_t>(2 * tasks));
+    for (int i = 0; i < 256; ++i, ++tasks) add_to(part.tasks, 20000 + static_cast<std::uint32_t>(2 * tasks));
     r.parts.push_back(std::move(part));
   }
   std::size_t found = 0;
--- a/tests/deciders_test.cpp
+++ b/tests/deciders_test.cpp
@@ -62,8 +62,7 @@
     }
     for (const auto& t : txns) out += "/", add(t.from), add(t.epoch), out += encode_record(t.record, 1).text;
     for (const auto& c : commands)
-      out += ">", add(c.epoch), add(c.machine), out += c.order.id.uid, add(c.order.attempt),
-          add(static_cast<int>(c.order.verb));
+      out += ">", add(c.epoch), add(c.machine), out += c.order.id.uid, add(c.order.attempt), add(static_cast<int>(c.order.verb));
     for (const auto& m : machines) {
       out += "m", add(m.epoch);
       for (const auto& [p, ended] : m.pieces) out += p.first, add(p.second), add(ended);
@@ -77,11 +76,7 @@
     r.address = "a", r.kind = "big", r.yard = "x";
     r.tenure = 1, r.serial = ++machine.serial, r.epoch = machine.epoch;
     for (const auto& [p, ended] : machine.pieces)
-      r.pieces.push_back({{p.first, 0},
-                          p.second,
-                          ended ? Phase::exited : Phase::running,
-                          ended ? Cause::done : Cause::none,
-                          false});
+      r.pieces.push_back({{p.first, 0}, p.second, ended ? Phase::exited : Phase::running, ended ? Cause::done : Cause::none, false});
     return r;
   }
   [[nodiscard]] std::string wrong() const {
@@ -89,8 +84,7 @@
     for (const auto& m : machines)
       for (const auto& [p, ended] : m.pieces) {
         if (ended) continue;
-        const auto job =
-            std::find_if(kJobs.begin(), kJobs.end(), [&](const auto& j) { return j.first == p.first; });
+        const auto job = std::find_if(kJobs.begin(), kJobs.end(), [&](const auto& j) { return j.first == p.first; });
         if (++by_team[job->second] > 1) return "quota: " + job->second;
         if (++by_job[p.first] > 1) return "ran_twice: " + p.first;
       }
@@ -117,8 +111,7 @@
       if (events >= most) continue;
       std::string found;
       each(world, [&](World next, const std::string& event) {
-        if (const auto wrong = next.wrong(); found.empty() && !wrong.empty())
-          found = path + event + "; " + wrong;
+        if (const auto wrong = next.wrong(); found.empty() && !wrong.empty()) found = path + event + "; " + wrong;
         if (!seen_.insert(next.text()).second) return;
         queue.push_back({std::move(next), path + event + "; "});
         depth.push_back(events + 1);
@@ -324,9 +317,7 @@
   EXPECT_NE(found, "");
   std::printf("%s\n", found.c_str());
 }
-INSTANTIATE_TEST_SUITE_P(Deciders, Guard,
-                         testing::Values(Fault::no_stamp, Fault::sends_before_it_is_durable,
-                                         Fault::uses_are_not_counted));
+INSTANTIATE_TEST_SUITE_P(Deciders, Guard, testing::Values(Fault::no_stamp, Fault::sends_before_it_is_durable, Fault::uses_are_not_counted));
 
 }  // namespace
 }  // namespace thistle
--- a/tests/floor_test.cpp
+++ b/tests/floor_test.cpp
@@ -8,7 +8,9 @@
 namespace thistle {
 namespace {
 
-JobIdx job(std::uint32_t n) { return JobIdx{n}; }
+JobIdx job(std::uint32_t n) {
+  return JobIdx{n};
+}
 
 TEST(Floor, GivesWhatWasEarnedToTheLongestWait) {
   Floor f;
--- a/tests/frames_test.cpp
+++ b/tests/frames_test.cpp
@@ -14,10 +14,11 @@
 
 class Calls : public testing::Test {
  protected:
-  Calls() : server(address, 8, [this](const Frame& f) {
-      std::this_thread::sleep_for(std::chrono::duration<double>(takes_s));
-      return f;
-    }) {}
+  Calls()
+      : server(address, 8, [this](const Frame& f) {
+          std::this_thread::sleep_for(std::chrono::duration<double>(takes_s));
+          return f;
+        }) {}
   ~Calls() override { server.stop(); }
   const std::string address = free_address();
   std::atomic<double> takes_s{0};
@@ -31,8 +32,7 @@
   std::atomic<int> answered{0};
   {
     std::vector<std::jthread> callers;
-    for (int i = 0; i < 3; ++i)
-      callers.emplace_back([&] { answered += pool.ask(Frame{1, "x"}, 5).has_value(); });
+    for (int i = 0; i < 3; ++i) callers.emplace_back([&] { answered += pool.ask(Frame{1, "x"}, 5).has_value(); });
   }
   EXPECT_EQ(answered, 3);
   takes_s = 2;
--- a/tests/intake_controllers_test.cpp
+++ b/tests/intake_controllers_test.cpp
@@ -69,8 +69,13 @@
   std::string listed() {
     nlohmann::json hosts = nlohmann::json::array();
     for (const auto& w : workers)
-      hosts.push_back({{"uid", w->name()}, {"address", w->address()}, {"hostKind", "big"}, {"yard", "x"}, {"loaners", false},
-                       {"status", "running"}, {"heldS", 100}});
+      hosts.push_back({{"uid", w->name()},
+                       {"address", w->address()},
+                       {"hostKind", "big"},
+                       {"yard", "x"},
+                       {"loaners", false},
+                       {"status", "running"},
+                       {"heldS", 100}});
     return nlohmann::json{{"hosts", hosts}, {"truncated", false}}.dump();
   }
 
@@ -89,7 +94,10 @@
   for (auto& w : workers) w->cut_commands(true);
   checker.wants_withdrawn("j-2");
   ASSERT_TRUE(cluster->eventually(10, [&] { return withdraw(0, "j-2") == "aborted"; }));
-  EXPECT_TRUE(cluster->eventually(10, [&] { return std::accumulate(workers.begin(), workers.end(), std::size_t{0}, [](auto sum, auto& w) { return sum + w->holds(); }) == 4 * kTasks; }));
+  EXPECT_TRUE(cluster->eventually(10, [&] {
+    return std::accumulate(workers.begin(), workers.end(), std::size_t{0}, [](auto sum, auto& w) { return sum + w->holds(); }) ==
+           4 * kTasks;
+  }));
   expect_first_sessions("at the end");
 }
 
@@ -152,9 +160,8 @@
   cluster->state.door(first).refuses = false;
   ASSERT_TRUE(cluster->eventually(20, [&] { return withdraw(next, "j-1") == "aborted"; }));
   wait(kTimes.lease + 1);
-  EXPECT_TRUE(cluster->eventually(10, [&] {
-    return std::all_of(jobs.begin() + 1, jobs.end(), [&](const auto& uid) { return running(uid) == kTasks; });
-  }));
+  EXPECT_TRUE(cluster->eventually(
+      10, [&] { return std::all_of(jobs.begin() + 1, jobs.end(), [&](const auto& uid) { return running(uid) == kTasks; }); }));
   EXPECT_EQ(releases, 0);
 }
 
--- a/tests/intake_test.cpp
+++ b/tests/intake_test.cpp
@@ -61,7 +61,11 @@
       piece.cause = piece.phase == Phase::exited ? static_cast<Cause>(1 + random_() % 8) : Cause::none;
       piece.kept = piece.phase == Phase::exited && random_() % 2;
     } else {
-      report_.pieces.push_back({{"j-" + std::to_string(random_() % 3), static_cast<std::uint32_t>(random_() % 4)}, ++attempts_, Phase::pulling, Cause::none, false});
+      report_.pieces.push_back({{"j-" + std::to_string(random_() % 3), static_cast<std::uint32_t>(random_() % 4)},
+                                ++attempts_,
+                                Phase::pulling,
+                                Cause::none,
+                                false});
       std::shuffle(report_.pieces.begin(), report_.pieces.end(), random_);
       if (random_() % 40 == 0) report_.pieces.push_back(report_.pieces.front());  // no worker does that: it travels whole
     }
@@ -213,7 +217,8 @@
   // Altered bytes are refused or read as something else of the right form; nothing is read past the end.
   for (int i = 0; i < 20000; ++i) {
     Frame altered = whole;
-    for (auto changes = 1 + random() % 4; changes > 0; --changes) altered.payload[random() % altered.payload.size()] = static_cast<char>(random());
+    for (auto changes = 1 + random() % 4; changes > 0; --changes)
+      altered.payload[random() % altered.payload.size()] = static_cast<char>(random());
     const auto got = unpack_intake_batch(altered);
     if (!got) continue;
     ReportReceiver receiver;
--- a/tests/jobs.hpp
+++ b/tests/jobs.hpp
@@ -18,9 +18,13 @@
 }
 
 // One team, red, and its limit.
-inline Book book_of_red(double cores_max) { return Book({Team{"red", {}, {cores_max, 0, 0}, {}}}); }
+inline Book book_of_red(double cores_max) {
+  return Book({Team{"red", {}, {cores_max, 0, 0}, {}}});
+}
 
-inline std::size_t encoded_size(const Record& record) { return encode_record(record, 1).text.size(); }
+inline std::size_t encoded_size(const Record& record) {
+  return encode_record(record, 1).text.size();
+}
 
 // An entry with these records as it is stored.
 inline std::string stored_entry(const std::vector<Record>& records, EntryHead head = {}) {
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -108,9 +108,7 @@
     return {503, "{}"};
   });
   std::uint64_t serial = 0;
-  const auto report = [&] {
-    c.ask(first, "POST", "/v1/report", testing_::report_body("m-1", address, ++serial, 0));
-  };
+  const auto report = [&] { c.ask(first, "POST", "/v1/report", testing_::report_body("m-1", address, ++serial, 0)); };
   int accepted = 0;
   EXPECT_TRUE(c.eventually(20, [&] {
     report();
@@ -219,7 +217,8 @@
         case 1: d.loses = d.loses > 0 ? 0 : 0.3; break;
         case 2: d.late = d.late > 0 ? 0 : 0.2; break;
         case 3: d.repeats = d.repeats > 0 ? 0 : 0.3; break;
-        default: if (random() % 3 == 0) c.state.end_holds();
+        default:
+          if (random() % 3 == 0) c.state.end_holds();
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(250));
     }
--- a/tests/levels_test.cpp
+++ b/tests/levels_test.cpp
@@ -19,18 +19,12 @@
 
 Able able_of(Build build, std::uint64_t incarnation) {
   switch (build) {
-    case Build::before_levels:
-      return {};
-    case Build::reads_one:
-      return {1, 1, 1, incarnation, "a"};
-    case Build::held_at_one:
-      return {1, 2, 1, incarnation, "b"};
-    case Build::reads_three:
-      return {1, 3, 3, incarnation, "c"};
-    case Build::reads_four:
-      return {1, 4, 4, incarnation, "d"};
-    default:
-      return {1, 2, 2, incarnation, "b"};
+    case Build::before_levels: return {};
+    case Build::reads_one: return {1, 1, 1, incarnation, "a"};
+    case Build::held_at_one: return {1, 2, 1, incarnation, "b"};
+    case Build::reads_three: return {1, 3, 3, incarnation, "c"};
+    case Build::reads_four: return {1, 4, 4, incarnation, "d"};
+    default: return {1, 2, 2, incarnation, "b"};
   }
 }
 
@@ -88,8 +82,7 @@
     for (const auto& [n, name] : hold_names) add(alive.contains(n));
     for (const auto& n : nodes) {
       out += "|", add(n.up), add(static_cast<int>(n.build)), add(n.incarnation);
-      if (n.term)
-        add(stamps.at(n.term->epoch)), add(hold_names.at(n.term->hold)), out += level_value(n.term->level);
+      if (n.term) add(stamps.at(n.term->epoch)), add(hold_names.at(n.term->hold)), out += level_value(n.term->level);
     }
     for (const auto& s : sent) {
       out += "/", add(s.from), add(s.incarnation);
@@ -188,24 +181,21 @@
     if (held(kLeaderKey) && held(kLeadKey)) return "two keys of the lead are held";
     const Able able = able_of(s.build, 0);
     for (std::uint32_t level = 1; level <= kMostLevel; ++level)
-      if (s.takes_lead && before.entries_of(level) && level > able.most)
-        return "a build leads that can't read the ledger";
+      if (s.takes_lead && before.entries_of(level) && level > able.most) return "a build leads that can't read the ledger";
     // Its own record in the roster it may write.
     if (s.step.kind != Step::Kind::note && before.look().on.level > able.most)
       return "an older build wrote under a level that it does not have";
     if (s.step.kind == Step::Kind::raise)
       for (const auto& label : kLabels) {
         const auto roster = roster_of(before.rows(kRosterPrefix));
-        if (!roster.contains(label) || roster.at(label).able.most < s.step.after.level)
-          return "switched on though " + label + " lacks it";
+        if (!roster.contains(label) || roster.at(label).able.most < s.step.after.level) return "switched on though " + label + " lacks it";
       }
     if (s.step.kind == Step::Kind::lowered && !before.entries_beside(0, s.step.after.level + 1).empty())
       return "lowered over entries of the higher level";
     return "";
   }
 
-  void send(World w, std::size_t from, Step step, const std::string& event, const Found& found,
-            bool takes_lead = false) {
+  void send(World w, std::size_t from, Step step, const std::string& event, const Found& found, bool takes_lead = false) {
     if (w.sent.size() >= most_sent) return;
     const auto& node = w.nodes[from];
     w.sent.push_back({from, node.incarnation, takes_lead, node.build, std::move(step)});
@@ -223,10 +213,7 @@
         const auto wrong = done ? judge(world, w, s) : "";
         auto& node = w.nodes[s.from];
         if (answered && node.up && node.incarnation == s.incarnation) take_in(w, node, s, done);
-        found(std::move(w),
-              std::string(done ? "applied" : "refused") + (answered ? "" : " unheard") + " of " +
-                  kLabels[s.from],
-              wrong);
+        found(std::move(w), std::string(done ? "applied" : "refused") + (answered ? "" : " unheard") + " of " + kLabels[s.from], wrong);
       }
       World lost = world;
       lost.sent.erase(lost.sent.begin() + static_cast<long>(t));
@@ -293,8 +280,7 @@
         Step step;
         step.conditions = {{kLeaderKey, 0}};
         step.puts = {{kLeaderKey, leader_value(value), hold}};
-        if (!world.keys.contains(kLeaderKey))
-          send(std::move(w), i, step, kLabels[i] + " wants the lead", found, true);
+        if (!world.keys.contains(kLeaderKey)) send(std::move(w), i, step, kLabels[i] + " wants the lead", found, true);
       } else if (auto step = take_lead(look, able, value, hold); step && !look.leader) {
         if (faults_.in_take) faults_.in_take(*step);
         send(std::move(w), i, std::move(*step), kLabels[i] + " wants the lead", found, true);
@@ -321,17 +307,14 @@
     if (node.build == Build::before_levels) return;
     std::map<std::string, Able> answers;
     for (std::size_t p = 0; p < kControllers; ++p)
-      if (p != i && world.nodes[p].up)
-        answers[kLabels[p]] = able_of(world.nodes[p].build, world.nodes[p].incarnation);
+      if (p != i && world.nodes[p].up) answers[kLabels[p]] = able_of(world.nodes[p].build, world.nodes[p].incarnation);
     if (look.leader_stamp != term.epoch) return;
-    Step step = next_step(
-        look, roster, kLabels, answers,
-        {value, term.epoch, term.hold, term.level, old_entries && !faults_.forgets_old_entries, {}}, 0, 0);
+    Step step = next_step(look, roster, kLabels, answers,
+                          {value, term.epoch, term.hold, term.level, old_entries && !faults_.forgets_old_entries, {}}, 0, 0);
     if (step.kind == Step::Kind::none) return;
     if (step.kind == Step::Kind::raise && faults_.in_raise) faults_.in_raise(step);
     if (step.kind == Step::Kind::lowered && faults_.in_lowered) faults_.in_lowered(step);
-    send(world, i, std::move(step), kLabels[i] + " sends step " + std::to_string(static_cast<int>(step.kind)),
-         found);
+    send(world, i, std::move(step), kLabels[i] + " sends step " + std::to_string(static_cast<int>(step.kind)), found);
   }
 
   Faults faults_;
@@ -390,18 +373,14 @@
   EXPECT_EQ(several.run(all, 7), "");
   EXPECT_TRUE(several.applied.contains(Step::Kind::raise));
   std::printf("%zu + %zu worlds\n", upgrade.worlds(), several.worlds());
-  RecordProperty("worlds",
-                 static_cast<int>(up.worlds() + from_nothing.worlds() + down.worlds() + undecided.worlds()));
-  std::printf("%zu + %zu + %zu + %zu worlds\n", up.worlds(), from_nothing.worlds(), down.worlds(),
-              undecided.worlds());
+  RecordProperty("worlds", static_cast<int>(up.worlds() + from_nothing.worlds() + down.worlds() + undecided.worlds()));
+  std::printf("%zu + %zu + %zu + %zu worlds\n", up.worlds(), from_nothing.worlds(), down.worlds(), undecided.worlds());
   EXPECT_GT(up.worlds(), 10000u);
 }
 
 TEST(Levels, EachGuardTakenOutIsFound) {
   Faults no_parking;
-  no_parking.in_raise = [](Step& s) {
-    std::erase_if(s.puts, [](const Put& p) { return p.key == kLeaderKey; });
-  };
+  no_parking.in_raise = [](Step& s) { std::erase_if(s.puts, [](const Put& p) { return p.key == kLeaderKey; }); };
   const auto parking = Explorer(no_parking).run(led(1, Build::reads_two, true), 7);
   EXPECT_NE(parking, "") << "the old key is kept by nobody";
   Faults no_roster;
@@ -436,8 +415,7 @@
   const auto held = able_of(Build::held_at_one, 1);
   Roster roster;
   for (const auto& label : kLabels) roster[label] = {held, 5};
-  const Look look =
-      rollout::look({row(kLevelKey, level_value({2, 0}), 7), row(kLeadKey, leader_value({"a", 1}), 9)});
+  const Look look = rollout::look({row(kLevelKey, level_value({2, 0}), 7), row(kLeadKey, leader_value({"a", 1}), 9)});
   Leading leading{{"a", 1}, 9, 1, {2, 0}, false, "generation 3"};
   const auto step = next_step(look, roster, kLabels, {}, leading, 0, 0);
   EXPECT_EQ(step.kind, Step::Kind::none);
--- a/tests/lost_answers_test.cpp
+++ b/tests/lost_answers_test.cpp
@@ -16,7 +16,9 @@
 struct Kind {
   const char *name, *before, *after;  // what users are told of the job without the record, and with it
   bool successor;                     // another one leads, and reads the record; else its writer learns by itself
-  friend std::ostream& operator<<(std::ostream& out, const Kind& k) { return out << k.name << (k.successor ? ", read by a successor" : ""); }
+  friend std::ostream& operator<<(std::ostream& out, const Kind& k) {
+    return out << k.name << (k.successor ? ", read by a successor" : "");
+  }
 };
 
 class LostAnswer : public testing_::Town, public testing::WithParamInterface<Kind> {
@@ -77,10 +79,12 @@
 }
 INSTANTIATE_TEST_SUITE_P(Kinds, LostAnswer,
                          testing::Values(Kind{"accepted", "unknown", "queued", false}, Kind{"accepted", "unknown", "queued", true},
-                                         Kind{"cancelled", "running", "aborted", false},
-                                         Kind{"cancelled", "running", "aborted", true}, Kind{"ended", "queued or running", "done", false},
+                                         Kind{"cancelled", "running", "aborted", false}, Kind{"cancelled", "running", "aborted", true},
+                                         Kind{"ended", "queued or running", "done", false},
                                          Kind{"ended", "queued or running", "done", true}),
-                         [](const auto& info) { return std::string(info.param.name) + (info.param.successor ? "AndReadByASuccessor" : ""); });
+                         [](const auto& info) {
+                           return std::string(info.param.name) + (info.param.successor ? "AndReadByASuccessor" : "");
+                         });
 
 // The others see that it leads before it does. It finds its key, under the hold that it asked for.
 TEST(LostAnswerOf, TheLeadTakenIsItsOwn) {
@@ -184,7 +188,8 @@
   door.loses_next = "lead";
   for (std::size_t i = 0; i < 3; ++i) c.start(i, testing_::one_level());
   ASSERT_TRUE(c.eventually(10, [&] { return door.lost == 1; }));
-  ASSERT_TRUE(c.eventually(10, [&] { return !c.state.leader().empty() && c.state.leader() != "host-1"; })) << "another one reads that it is free";
+  ASSERT_TRUE(c.eventually(10, [&] { return !c.state.leader().empty() && c.state.leader() != "host-1"; }))
+      << "another one reads that it is free";
   const auto epoch = c.state.epoch();
   EXPECT_TRUE(c.submit_until("j-2", 10));
   wait(4);
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -1,13 +1,12 @@
 // Messages: what is taken, what is refused and by which field's name, and round trips.
-#include "jobs.hpp"
 #include "protocol/messages.hpp"
 
-#include "coordination/histograms.hpp"
-
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
 
+#include "coordination/histograms.hpp"
+#include "jobs.hpp"
 #include "protocol/peer_messages.hpp"
 
 namespace thistle {
@@ -40,10 +39,9 @@
 
 TEST(Submission, RefusalNamesTheField) {
   const std::pair<const char*, nlohmann::json> cases[] = {
-      {"uid", "k-1"},      {"uid", "j-"},     {"uid", 7},        {"pieces", 0},    {"pieces", -1}, {"pieces", 1.5},
-      {"pieces", 100001},  {"cores", -1},     {"cores", "8"},    {"cores", 1e300}, {"shape", "x"}, {"rank", nullptr},
-      {"hostKinds", "g8"}, {"oneZone", 1},    {"owner", ""},     {"dueS", -3},     {"ramGb", nullptr},
-      {"hostKinds", nlohmann::json::array()}};
+      {"uid", "k-1"},      {"uid", "j-"},  {"uid", 7},     {"pieces", 0},    {"pieces", -1},     {"pieces", 1.5},
+      {"pieces", 100001},  {"cores", -1},  {"cores", "8"}, {"cores", 1e300}, {"shape", "x"},     {"rank", nullptr},
+      {"hostKinds", "g8"}, {"oneZone", 1}, {"owner", ""},  {"dueS", -3},     {"ramGb", nullptr}, {"hostKinds", nlohmann::json::array()}};
   for (const auto& [field, value] : cases) {
     auto j = good();
     j[field] = value;
@@ -69,12 +67,12 @@
   const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","tenure":1,"serial":2,"epoch":3,)";
   const auto r = parse_report(head + R"("recallS":null,"pieces":[{"piece":"j-1/3","try":2,"status":"running"}]})");
   EXPECT_EQ(r.pieces.at(0).id.task, 3u);
-  for (const char* tail : {R"("pieces":3})", R"("pieces":[{"piece":"j-1","try":2,"status":"running"}]})",
-                           R"("pieces":[{"piece":"j-1/99999999","try":2,"status":"running"}]})",
-                           R"("pieces":[{"piece":"j-1/1","try":-2,"status":"running"}]})",
-                           R"("pieces":[{"piece":"j-1/1","try":2,"status":"odd"}]})", R"("pieces":{"a":1}})", R"("pieces":[[]]})",
-                           R"("pieces":[3]})", R"("pieces":[{"piece":"j-1/1","status":"running"}]})", R"("pieces":null})",
-                           R"("pieces":[]},)", R"("loaners":1,"pieces":[]})", R"("recallS":"x","pieces":[]})"})
+  for (const char* tail :
+       {R"("pieces":3})", R"("pieces":[{"piece":"j-1","try":2,"status":"running"}]})",
+        R"("pieces":[{"piece":"j-1/99999999","try":2,"status":"running"}]})",
+        R"("pieces":[{"piece":"j-1/1","try":-2,"status":"running"}]})", R"("pieces":[{"piece":"j-1/1","try":2,"status":"odd"}]})",
+        R"("pieces":{"a":1}})", R"("pieces":[[]]})", R"("pieces":[3]})", R"("pieces":[{"piece":"j-1/1","status":"running"}]})",
+        R"("pieces":null})", R"("pieces":[]},)", R"("loaners":1,"pieces":[]})", R"("recallS":"x","pieces":[]})"})
     EXPECT_THROW(parse_report(head + tail), Malformed) << tail;
 }
 
@@ -119,8 +117,7 @@
   const auto call = unpack_call(frame);
   ASSERT_TRUE(call);
   EXPECT_EQ(call->target, "/v1/jobs/j-1");
-  for (std::size_t cut = 0; cut < frame.payload.size(); ++cut)
-    EXPECT_FALSE(unpack_call({frame.kind, frame.payload.substr(0, cut)})) << cut;
+  for (std::size_t cut = 0; cut < frame.payload.size(); ++cut) EXPECT_FALSE(unpack_call({frame.kind, frame.payload.substr(0, cut)})) << cut;
   EXPECT_FALSE(unpack_call({frame.kind, frame.payload + "x"}));
   EXPECT_FALSE(unpack_beat(frame));
 }
--- a/tests/new_machines_test.cpp
+++ b/tests/new_machines_test.cpp
@@ -9,7 +9,7 @@
 
 using testing_::wait;
 
-constexpr rig::Times kTimes{0.3, 4, 8, 0.05};  // report, lease, cancel, pull
+constexpr rig::Times kTimes{0.3, 4, 8, 0.05};    // report, lease, cancel, pull
 constexpr double kAbsent = 1.0, kBooting = 6.0;  // seconds for which the list lacks a machine, and for which it calls it booting
 
 class NewMachines : public testing_::Town, public testing::WithParamInterface<bool> {
@@ -28,8 +28,13 @@
       json hosts = json::array();
       for (const auto& [name, at] : rented_at)
         if (now - at > kAbsent && c.target.find("from=") == std::string_view::npos)
-          hosts.push_back({{"uid", name}, {"address", ""}, {"hostKind", "big"}, {"yard", "x"}, {"loaners", false},
-                           {"status", now - at < kBooting ? "booting" : "running"}, {"heldS", now - at}});
+          hosts.push_back({{"uid", name},
+                           {"address", ""},
+                           {"hostKind", "big"},
+                           {"yard", "x"},
+                           {"loaners", false},
+                           {"status", now - at < kBooting ? "booting" : "running"},
+                           {"heldS", now - at}});
       return {200, json{{"hosts", hosts}, {"truncated", false}}.dump()};
     }
     const auto body = json::parse(c.body);
--- a/tests/old_reports_test.cpp
+++ b/tests/old_reports_test.cpp
@@ -1,7 +1,7 @@
 // An old report reaches a leader just as it begins: it has heard nothing else, and remembers no serial. Every history of one machine up to
-// a length (starts, commands, ends, reports, reaps, a cancellation, leases that lapse), a new leader after it that reads the ledger, and every copy of an
-// earlier report, of the same session or an earlier one, heard first; then its commands, and then the machine's own report.
-// What it concludes must be true of the machine.
+// a length (starts, commands, ends, reports, reaps, a cancellation, leases that lapse), a new leader after it that reads the ledger, and
+// every copy of an earlier report, of the same session or an earlier one, heard first; then its commands, and then the machine's own
+// report. What it concludes must be true of the machine.
 #include <gtest/gtest.h>
 
 #include "fleet/dealings.hpp"
@@ -27,7 +27,8 @@
   Report report() {
     Report r{"m-1", "a", "big", "x", false, tenure, ++serial, epoch, std::nullopt, {}};
     for (const auto& [key, ended] : pieces)
-      r.pieces.push_back({{"j-1", key.first}, key.second, ended ? Phase::exited : Phase::running, ended ? Cause::done : Cause::none, false});
+      r.pieces.push_back(
+          {{"j-1", key.first}, key.second, ended ? Phase::exited : Phase::running, ended ? Cause::done : Cause::none, false});
     return r;
   }
   void execute(const std::vector<Order>& orders, std::uint64_t as_epoch, std::uint64_t of_tenure) {
@@ -151,7 +152,8 @@
         for (const auto& key : now.reaped)
           if (now.finished.contains(key.first) && !job.ended() && job.tasks[key.first] == TaskState::waiting) now.wrong = "an end is lost";
         ++worlds;
-        if (!now.wrong.empty()) found = path + "copy " + std::to_string(a) + (b < w.heard.size() ? ", copy " + std::to_string(b) : "") + ": " + now.wrong;
+        if (!now.wrong.empty())
+          found = path + "copy " + std::to_string(a) + (b < w.heard.size() ? ", copy " + std::to_string(b) : "") + ": " + now.wrong;
       }
     }
   }
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -6,7 +6,6 @@
 #include <random>
 #include <set>
 
-
 #include "fleet/dealings.hpp"
 #include "kept_ledger.hpp"
 
@@ -19,11 +18,15 @@
   s.waits_on = std::move(names);
   return s;
 }
-AcceptRecord accept(Submission s, double at) { return {std::move(s), 0.5, at}; }
+AcceptRecord accept(Submission s, double at) {
+  return {std::move(s), 0.5, at};
+}
 StartRecord start(const std::string& uid, std::uint64_t attempt, Ranges tasks, const std::string& host = "m-1") {
   return {uid, attempt, 1, {{host, 1, std::move(tasks)}}};
 }
-const Job& job(const Book& book, const std::string& uid) { return book.job(book.find(uid)); }
+const Job& job(const Book& book, const std::string& uid) {
+  return book.job(book.find(uid));
+}
 bool is_live(const Book& book, const std::string& uid) {
   return std::find(book.live().begin(), book.live().end(), book.find(uid)) != book.live().end();
 }
@@ -167,14 +170,16 @@
       EXPECT_EQ(again.pipelines().counts().unread_names, 0u);
       EXPECT_EQ(again.pipelines().counts().waiting, book.pipelines().counts().waiting);
       EXPECT_EQ(std::set<std::string>([&] {
-        std::set<std::string> out;
-        for (JobIdx l : again.live()) out.insert(again.job(l).uid);
-        return out;
-      }()), std::set<std::string>([&] {
-        std::set<std::string> out;
-        for (JobIdx l : book.live()) out.insert(book.job(l).uid);
-        return out;
-      }())) << "seed " << seed;
+                  std::set<std::string> out;
+                  for (JobIdx l : again.live()) out.insert(again.job(l).uid);
+                  return out;
+                }()),
+                std::set<std::string>([&] {
+                  std::set<std::string> out;
+                  for (JobIdx l : book.live()) out.insert(book.job(l).uid);
+                  return out;
+                }()))
+          << "seed " << seed;
       for (std::uint32_t i = 0; i < again.job_count(); ++i)
         for (const auto& name : again.job(JobIdx{i}).spec.waits_on) before_named += again.find(name).v > i;
       ready += book.pipelines().counts().ready > 0;
--- a/tests/planner_scale_test.cpp
+++ b/tests/planner_scale_test.cpp
@@ -125,9 +125,8 @@
 TEST(PlannerAtSize, NoHeldSlotIsDelayedByWhatComesBehind) {
   for (unsigned seed = 1; seed <= 3; ++seed) {
     auto in = fleet(seed, 420, 40);
-    std::stable_sort(in.jobs.begin(), in.jobs.end(), [](const PlanJob& a, const PlanJob& b) {
-      return a.tier != b.tier ? a.tier > b.tier : a.key > b.key;
-    });
+    std::stable_sort(in.jobs.begin(), in.jobs.end(),
+                     [](const PlanJob& a, const PlanJob& b) { return a.tier != b.tier ? a.tier > b.tier : a.key > b.key; });
     for (std::uint32_t i = 0; i < in.jobs.size(); ++i) in.jobs[i].job = JobIdx{i};
     const auto slots_of = [](const Plan& plan, std::uint32_t before) {
       std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, double>> out;
@@ -218,7 +217,7 @@
     j.loaners = loaners;
     in.jobs.push_back(j);
   };
-  add(0.5, 9, false);   // 0.3 is free where it may run
+  add(0.5, 9, false);  // 0.3 is free where it may run
   add(0.6, 8, false);
   add(0.25, 7, false);  // fits
   add(0.5, 6, true);    // fits on the spot machine
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -40,15 +40,24 @@
       h.host = HostIdx{static_cast<std::uint32_t>(t.hosts.size())};
       while (words >> word) {
         std::string value;
-        if (word == "spot") h.loaner = true;
-        else if (word == "image") h.images.push_back(ImageIdx{0});
-        else if (words >> value; word == "kind") h.kind = KindIdx{id(kinds, value)};
-        else if (word == "zone") h.zone = ZoneIdx{id(zones, value)};
-        else if (word == "cores") h.room.cores = std::stod(value);
-        else if (word == "gpus") h.room.accelerators = std::stod(value);
-        else if (word == "ram") h.room.ram_gb = std::stod(value);
-        else if (word == "fetch") h.fetch_gb_per_s = std::stod(value);
-        else ADD_FAILURE() << path << ": " << word;
+        if (word == "spot")
+          h.loaner = true;
+        else if (word == "image")
+          h.images.push_back(ImageIdx{0});
+        else if (words >> value; word == "kind")
+          h.kind = KindIdx{id(kinds, value)};
+        else if (word == "zone")
+          h.zone = ZoneIdx{id(zones, value)};
+        else if (word == "cores")
+          h.room.cores = std::stod(value);
+        else if (word == "gpus")
+          h.room.accelerators = std::stod(value);
+        else if (word == "ram")
+          h.room.ram_gb = std::stod(value);
+        else if (word == "fetch")
+          h.fetch_gb_per_s = std::stod(value);
+        else
+          ADD_FAILURE() << path << ": " << word;
       }
       t.hosts.push_back(name);
       t.input.hosts.push_back(h);
@@ -58,10 +67,14 @@
       while (words >> word) {
         double value = 0;
         words >> value;
-        if (word == "cores") o.need.cores = value;
-        else if (word == "ram") o.need.ram_gb = value;
-        else if (word == "until") o.until = value;
-        else ADD_FAILURE() << path << ": " << word;
+        if (word == "cores")
+          o.need.cores = value;
+        else if (word == "ram")
+          o.need.ram_gb = value;
+        else if (word == "until")
+          o.until = value;
+        else
+          ADD_FAILURE() << path << ": " << word;
       }
       const auto at = std::find(t.hosts.begin(), t.hosts.end(), name) - t.hosts.begin();
       t.input.hosts.at(static_cast<std::size_t>(at)).occupants.push_back(o);
@@ -85,21 +98,38 @@
           j.units = static_cast<std::uint32_t>(std::stoul(word.substr(1)));
           continue;
         }
-        if (word == "onezone") { j.one_zone = true; continue; }
-        if (word == "spread") { spread = true; continue; }
+        if (word == "onezone") {
+          j.one_zone = true;
+          continue;
+        }
+        if (word == "spread") {
+          spread = true;
+          continue;
+        }
         std::string value;
         words >> value;
-        if (word == "cores") j.need.cores = std::stod(value);
-        else if (word == "gpus") j.need.accelerators = std::stod(value);
-        else if (word == "ram") j.need.ram_gb = std::stod(value);
-        else if (word == "pull") j.pull_gb = std::stod(value), j.image = ImageIdx{0};
-        else if (word == "run") j.run_s = std::stod(value);
-        else if (word == "key") j.key = std::stod(value);
-        else if (word == "tier") j.tier = std::stoi(value);
-        else if (word == "draw") draw = std::stod(value);
-        else if (word == "waited") waited = std::stod(value);
-        else if (word == "team") j.team = TeamIdx{id(teams, value)};
-        else ADD_FAILURE() << path << ": " << word;
+        if (word == "cores")
+          j.need.cores = std::stod(value);
+        else if (word == "gpus")
+          j.need.accelerators = std::stod(value);
+        else if (word == "ram")
+          j.need.ram_gb = std::stod(value);
+        else if (word == "pull")
+          j.pull_gb = std::stod(value), j.image = ImageIdx{0};
+        else if (word == "run")
+          j.run_s = std::stod(value);
+        else if (word == "key")
+          j.key = std::stod(value);
+        else if (word == "tier")
+          j.tier = std::stoi(value);
+        else if (word == "draw")
+          draw = std::stod(value);
+        else if (word == "waited")
+          waited = std::stod(value);
+        else if (word == "team")
+          j.team = TeamIdx{id(teams, value)};
+        else
+          ADD_FAILURE() << path << ": " << word;
       }
       if (draw >= 0) j.key = key_of(draw, j.run_s, 0.1 / 3600, waited, j.service);
       if (spread) j.zone_cap = (j.units + 1) / 2;
@@ -138,8 +168,7 @@
   return out;
 }
 
-INSTANTIATE_TEST_SUITE_P(Kept, PlannerTrace, testing::ValuesIn(traces()),
-                         [](const auto& info) { return info.param.stem().string(); });
+INSTANTIATE_TEST_SUITE_P(Kept, PlannerTrace, testing::ValuesIn(traces()), [](const auto& info) { return info.param.stem().string(); });
 
 }  // namespace
 }  // namespace thistle
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -16,8 +16,7 @@
     book.apply(FlavorsRecord{{f}});
     book.describe(book.host_named("m-1"), "", "big", "x", false);
   }
-  JobIdx add(const std::string& uid, const std::string& team, Shape shape, Rank rank, std::uint32_t pieces,
-             std::uint32_t placed) {
+  JobIdx add(const std::string& uid, const std::string& team, Shape shape, Rank rank, std::uint32_t pieces, std::uint32_t placed) {
     AcceptRecord r;
     r.job.uid = uid;
     r.job.owner = team;
--- a/tests/renewal_test.cpp
+++ b/tests/renewal_test.cpp
@@ -72,9 +72,7 @@
   };
 
   bool outage() const { return now_ >= t_.outage_at && now_ < t_.outage_at + t_.outage_for; }
-  bool served(std::size_t i) const {
-    return !outage() && !(i == 0 && now_ >= 2 && now_ < 2 + t_.refused_for);
-  }
+  bool served(std::size_t i) const { return !outage() && !(i == 0 && now_ >= 2 && now_ < 2 + t_.refused_for); }
   bool linked(std::size_t a, std::size_t b) const {
     const unsigned bit = a + b - 1;  // 0-1: 0, 0-2: 1, 1-2: 2
     return !((t_.cuts >> bit & 1) != 0 && now_ >= t_.cut_from && now_ < t_.cut_until);
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -28,12 +28,8 @@
     host.rented_at = now - held_s;
     return host;
   }
-  std::optional<Rental> choose(std::uint32_t units) {
-    return choose_rental({book, {{book.find("j-1"), units}}, refused, now, 50});
-  }
-  std::string offer(const Rental& r) const {
-    return book.kind_name(r.offer.kind) + " " + r.offer.yard + (r.offer.loaner ? " spot" : "");
-  }
+  std::optional<Rental> choose(std::uint32_t units) { return choose_rental({book, {{book.find("j-1"), units}}, refused, now, 50}); }
+  std::string offer(const Rental& r) const { return book.kind_name(r.offer.kind) + " " + r.offer.yard + (r.offer.loaner ? " spot" : ""); }
 
   Book book;
   std::set<Offer> refused;
--- a/tests/report_memo_test.cpp
+++ b/tests/report_memo_test.cpp
@@ -21,8 +21,7 @@
   if (a.pieces.size() != b.pieces.size()) return false;
   for (std::size_t i = 0; i < a.pieces.size(); ++i) {
     const auto &p = a.pieces[i], &q = b.pieces[i];
-    if (p.id.uid != q.id.uid || p.id.task != q.id.task || p.attempt != q.attempt || p.phase != q.phase || p.cause != q.cause)
-      return false;
+    if (p.id.uid != q.id.uid || p.id.task != q.id.task || p.attempt != q.attempt || p.phase != q.phase || p.cause != q.cause) return false;
   }
   return a.host == b.host && a.tenure == b.tenure && a.serial == b.serial && a.epoch == b.epoch && a.recall_s == b.recall_s;
 }
--- a/tests/rewriter_test.cpp
+++ b/tests/rewriter_test.cpp
@@ -10,7 +10,9 @@
 namespace thistle {
 namespace {
 
-Submission submission(const std::string& uid, std::uint32_t pieces) { return thistle::submission(uid, pieces, 1); }
+Submission submission(const std::string& uid, std::uint32_t pieces) {
+  return thistle::submission(uid, pieces, 1);
+}
 
 // The level is raised and lowered at any moment, by the leader that writes and between two leaders; entries of both stand in
 // one ledger, and each level is at times the only one left.
@@ -27,8 +29,8 @@
       const JobIdx j = book.live().empty() ? JobIdx{} : book.live()[some(static_cast<std::uint32_t>(book.live().size()))];
       if (!j.valid() || book.live().size() < 12) {
         // Some with more ranges than one record takes.
-        records.emplace_back(AcceptRecord{
-            submission("j-" + std::to_string(1000 + step), some(2) == 0 ? 500 : 1 + some(8)), 0.5, 1.0 * step});
+        records.emplace_back(
+            AcceptRecord{submission("j-" + std::to_string(1000 + step), some(2) == 0 ? 500 : 1 + some(8)), 0.5, 1.0 * step});
       } else {
         const Job& job = book.job(j);
         StartRecord start{job.uid, job.attempts + 1, 1.0 * step, {}};
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -38,15 +38,13 @@
 void expect_all_known(Cluster& c, const std::vector<std::string>& uids) {
   for (const auto& uid : uids)
     for (std::size_t i = 0; i < c.users.size(); ++i)
-      EXPECT_TRUE(c.eventually(15, [&] { return c.ask(i, "GET", "/v1/jobs/" + uid).is(200); }))
-          << uid << " at " << i;
+      EXPECT_TRUE(c.eventually(15, [&] { return c.ask(i, "GET", "/v1/jobs/" + uid).is(200); })) << uid << " at " << i;
 }
 
 bool all_entries_of(Cluster& c, bool level_two) {
   const auto entries = c.state.entries();
-  return !entries.empty() && std::all_of(entries.begin(), entries.end(), [&](const auto& e) {
-    return (e.second.find("\"level\":2") != std::string::npos) == level_two;
-  });
+  return !entries.empty() && std::all_of(entries.begin(), entries.end(),
+                                         [&](const auto& e) { return (e.second.find("\"level\":2") != std::string::npos) == level_two; });
 }
 
 TEST(Rollout, OneThatLacksTheLevelHoldsItBackAndTheLastOneSwitchesItOn) {
@@ -61,8 +59,7 @@
   EXPECT_TRUE(all_entries_of(c, false)) << "what an older build reads, as long as there is one";
   c.start(2, soaking(0));
   ASSERT_TRUE(c.eventually(30, [&] { return c.level() == kTwo; }));
-  EXPECT_NE(c.state.value("leader").find("(state level 2)"), std::string::npos)
-      << "kept by nobody, for builds from before levels";
+  EXPECT_NE(c.state.value("leader").find("(state level 2)"), std::string::npos) << "kept by nobody, for builds from before levels";
   ASSERT_TRUE(c.submit_until("j-2", 20));
   EXPECT_TRUE(c.eventually(20, [&] { return all_entries_of(c, true); })) << "old entries are written anew";
   expect_all_known(c, {"j-1", "j-2"});
@@ -80,13 +77,10 @@
   ASSERT_TRUE(c.eventually(20, [&] { return !c.state.value("roster/host-2").empty(); }));
   c.stop(2);
   ASSERT_TRUE(c.submit_until("j-1", 20));
-  EXPECT_TRUE(c.eventually(20, [&] {
-    return c.metric(c.leader(), "state_level_waits_for").find("host-2 (build ") != std::string::npos;
-  }));
+  EXPECT_TRUE(c.eventually(20, [&] { return c.metric(c.leader(), "state_level_waits_for").find("host-2 (build ") != std::string::npos; }));
   c.state.remove("roster/host-2");
-  EXPECT_TRUE(c.eventually(20, [&] {
-    return c.metric(c.leader(), "state_level_waits_for").find("host-2 (never seen)") != std::string::npos;
-  }));
+  EXPECT_TRUE(
+      c.eventually(20, [&] { return c.metric(c.leader(), "state_level_waits_for").find("host-2 (never seen)") != std::string::npos; }));
   EXPECT_EQ(c.level(), "");
 }
 
@@ -96,8 +90,7 @@
   ASSERT_TRUE(c.submit_until("j-1", 20));
   c.start(1, older());
   expect_all_known(c, {"j-1"});
-  EXPECT_TRUE(c.eventually(20, [&] { return c.submit(1, "j-2").is(201) || c.submit(1, "j-2").is(200); }))
-      << "it forwards";
+  EXPECT_TRUE(c.eventually(20, [&] { return c.submit(1, "j-2").is(201) || c.submit(1, "j-2").is(200); })) << "it forwards";
   c.stop(0);
   const auto until = steady_now() + 4;
   while (steady_now() < until) {
@@ -141,23 +134,12 @@
       const auto node = random() % 3;
       auto& d = c.state.door(node);
       switch (random() % 6) {
-        case 0:
-          d.refuses = !d.refuses;
-          break;
-        case 1:
-          d.loses = d.loses > 0 ? 0 : 0.4;
-          break;
-        case 2:
-          d.late = d.late > 0 ? 0 : 0.3;
-          break;
-        case 3:
-          d.repeats = d.repeats > 0 ? 0 : 0.4;
-          break;
-        case 4:
-          c.state.end_holds();
-          break;
-        default:
-          c.start(node, random() % 2 == 0 ? soaking(1) : older());
+        case 0: d.refuses = !d.refuses; break;
+        case 1: d.loses = d.loses > 0 ? 0 : 0.4; break;
+        case 2: d.late = d.late > 0 ? 0 : 0.3; break;
+        case 3: d.repeats = d.repeats > 0 ? 0 : 0.4; break;
+        case 4: c.state.end_holds(); break;
+        default: c.start(node, random() % 2 == 0 ? soaking(1) : older());
       }
       const std::string uid = "j-" + std::to_string(1000 * seed + told.size());
       if (const auto r = c.submit(random() % 3, uid); r.is(201) || r.is(200)) told.push_back(uid);
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -29,7 +29,7 @@
 // Of days on which every team is at its limit.
 constexpr int kFullJobs = 54;
 constexpr double kFullTroubles = 170, kCalms = 30;  // troubles until then; what was late before the calm has arrived
-constexpr double kUsedAgain = 5;  // seconds; less than a lease: room that is known to be free is used again by then
+constexpr double kUsedAgain = 5;                    // seconds; less than a lease: room that is known to be free is used again by then
 const std::map<std::string, double> kTeams{{"red", 7}, {"blue", 4}, {"green", 3}, {"late", 0}};
 constexpr double kSettles = 25;  // after a lowered limit, what was decided or ran before may run on
 
@@ -171,7 +171,9 @@
     }
     withdraw(uid);
     const bool twice = random_() % 2 == 0;
-    const auto a_leader = [this] { trouble(random_() % 3 == 0 ? Trouble::leader_freezes : random_() % 2 ? Trouble::leader_lingers : Trouble::leader_ends, false); };
+    const auto a_leader = [this] {
+      trouble(random_() % 3 == 0 ? Trouble::leader_freezes : random_() % 2 ? Trouble::leader_lingers : Trouble::leader_ends, false);
+    };
     at(now_ + uniform(0, 2), a_leader);
     if (twice) at(now_ + uniform(2, 6), a_leader);
     ++met;
@@ -245,8 +247,7 @@
   }
 
   struct Leader {
-    Leader(Day& d, std::uint64_t e, bool old_lingers)
-        : day(d), book(d.settings()), epoch(e), takeover(e), taken_at(d.now_) {
+    Leader(Day& d, std::uint64_t e, bool old_lingers) : day(d), book(d.settings()), epoch(e), takeover(e), taken_at(d.now_) {
       for (const auto& r : d.ledger_) book.apply(r);
       acked_at = old_lingers || d.now_ < d.old_until_ ? -1 : d.now_;
       granted = d.cuts_ ? Granted(custody_span(kCancel, kLease), taken_at) : Granted();
@@ -281,9 +282,8 @@
         const Host& host = book.host(HostIdx{i});
         const auto orders = orders_for(book, HostIdx{i}, takeover);
         if (orders.empty() || host.in_flight_epoch != 0) continue;
-        day.at(day.now_ + for_s, [d = &day, name = host.name, e = epoch, t = host.tenure, orders] {
-          d->send_commands(name, e, t, orders, false);
-        });
+        day.at(day.now_ + for_s,
+               [d = &day, name = host.name, e = epoch, t = host.tenure, orders] { d->send_commands(name, e, t, orders, false); });
       }
     }
     void tend() {
@@ -291,8 +291,7 @@
       if (acked_at < 0 && day.now_ >= day.old_until_) acked_at = day.now_;
       if (day.now_ < next_pass) return;
       next_pass = day.now_ + 0.3;
-      const Fencing fencing{takeover, taken_at, acked_at,
-                            {0, granted.kept_until(day.now_)}, {0, granted.kept_before(day.now_)}};
+      const Fencing fencing{takeover, taken_at, acked_at, {0, granted.kept_until(day.now_)}, {0, granted.kept_before(day.now_)}};
       std::vector<Record> records;
       bool doubt = false;
       for (std::uint32_t i = 0; i < book.host_count(); ++i) {
@@ -469,7 +468,7 @@
   void submit(int i) {
     AcceptRecord r;
     r.job.uid = "j-" + std::to_string(i);
-    r.job.owner = full_ ? std::vector<std::string>{"red", "blue", "green"}[static_cast<std::size_t>(i / 4 % 3)]
+    r.job.owner = full_    ? std::vector<std::string>{"red", "blue", "green"}[static_cast<std::size_t>(i / 4 % 3)]
                   : teams_ ? std::next(kTeams.begin(), i % 4)->first
                            : "red";
     r.job.job_class = "c";
@@ -594,9 +593,7 @@
         }
         if (dropped() || now_ < w.deaf_until || (!orders.empty() && cut_off(w))) return;
         at(now_ + delay(), [this, &w, r, sent, epoch, orders] {
-          if (now_ < w.hangs_until || w.tenure != r.tenure || w.awaited != r.serial || epoch < w.epoch ||
-              now_ - sent > kAnswerLife)
-            return;
+          if (now_ < w.hangs_until || w.tenure != r.tenure || w.awaited != r.serial || epoch < w.epoch || now_ - sent > kAnswerLife) return;
           w.awaited = 0;
           w.epoch = epoch;
           w.answered_sent = std::max(w.answered_sent, sent);
@@ -606,8 +603,7 @@
     }
   }
 
-  void send_commands(const std::string& name, std::uint64_t epoch, std::uint64_t tenure,
-                     const std::vector<Order>& orders, bool starts) {
+  void send_commands(const std::string& name, std::uint64_t epoch, std::uint64_t tenure, const std::vector<Order>& orders, bool starts) {
     Worker& w = *std::find_if(workers_.begin(), workers_.end(), [&](auto& x) { return x.name == name; });
     const auto term = leader_->takeover;
     auto answered = std::make_shared<bool>(false);
@@ -654,13 +650,13 @@
       if (o.verb == Verb::run && it == w.pieces.end()) {
         ++runs;
         if (!started_.insert(key).second)
-          broken.push_back("ran_again: " + o.id.uid + "/" + std::to_string(o.id.task) + " attempt " +
-                           std::to_string(o.attempt) + " on " + w.name + " at " + std::to_string(now_));
+          broken.push_back("ran_again: " + o.id.uid + "/" + std::to_string(o.id.task) + " attempt " + std::to_string(o.attempt) + " on " +
+                           w.name + " at " + std::to_string(now_));
         for (auto& other : workers_)
           for (const auto& [k, p] : other.pieces)
             if (holds(other) && std::get<0>(k) == o.id.uid && std::get<1>(k) == o.id.task && p.phase != Phase::exited)
-              broken.push_back("ran_twice: " + o.id.uid + "/" + std::to_string(o.id.task) + " on " + other.name +
-                               " and " + w.name + " at " + std::to_string(now_));
+              broken.push_back("ran_twice: " + o.id.uid + "/" + std::to_string(o.id.task) + " on " + other.name + " and " + w.name +
+                               " at " + std::to_string(now_));
         w.pieces[key] = {Phase::running, Cause::none, now_ + uniform(0.5, 12)};
       } else if (o.verb == Verb::kill && it != w.pieces.end() && it->second.phase != Phase::exited) {
         if (o.wind_down_s > 0 && it->second.phase == Phase::running) {
@@ -698,8 +694,8 @@
 
   std::mt19937_64 random_;
   bool cuts_, teams_, full_;
-  double calm_from_ = 1e9;                      // from then on no message is lost or late
-  std::map<std::string, double> lasts_since_;  // what must not last
+  double calm_from_ = 1e9;                                  // from then on no message is lost or late
+  std::map<std::string, double> lasts_since_;               // what must not last
   std::map<std::string, std::map<double, double>> limits_;  // of each team, by when they came into force
   std::map<std::string, std::string> owner_of_;
   double zone_cut_until_ = 0;
--- a/tests/served_test.cpp
+++ b/tests/served_test.cpp
@@ -95,8 +95,7 @@
 
   Book book = book_of_red(100);
   Served served({"c"});
-  for (int i = 0; i < 20; ++i)
-    book.apply(AcceptRecord{submission("j-" + std::to_string(i), i % 10 == 9 ? 8 : 1, 1), 0.5, 10});
+  for (int i = 0; i < 20; ++i) book.apply(AcceptRecord{submission("j-" + std::to_string(i), i % 10 == 9 ? 8 : 1, 1), 0.5, 10});
   const auto begins = [&](const std::string& uid, double at) {
     const Record start = StartRecord{uid, 1, at, {{"m-1", 1, {{0, 1}}}}};
     served.before(start, book);
--- a/tests/short_jobs_test.cpp
+++ b/tests/short_jobs_test.cpp
@@ -22,7 +22,7 @@
   Tail tail{Tail::Found{}, 4};
   WriteBudget budget{15};
   std::deque<Pending> queue;
-  std::map<std::uint64_t, double> asked;  // of users' records, by ticket
+  std::map<std::uint64_t, double> asked;          // of users' records, by ticket
   std::vector<std::pair<double, double>> waited;  // when they were asked, and for how long
   std::map<std::string, std::string> entries;
   std::map<std::string, std::uint64_t> stamps;
@@ -97,7 +97,8 @@
       }
     }
     // A pass starts what waits, once the starts before are in the ledger.
-    const bool starting = std::any_of(load.queue.begin(), load.queue.end(), [](const Pending& p) { return std::holds_alternative<StartRecord>(p.record); });
+    const bool starting =
+        std::any_of(load.queue.begin(), load.queue.end(), [](const Pending& p) { return std::holds_alternative<StartRecord>(p.record); });
     if (now >= next_pass && !starting) {
       next_pass = now + 0.1;
       for (JobIdx j : std::vector<JobIdx>(load.book.live())) {
@@ -110,10 +111,10 @@
     if (now >= busy_until && load.commit(now)) busy_until = now + kAnswers;
   }
   const double jobs = accepted;
-  std::cout << accepted << " jobs: " << static_cast<double>(load.changes) / jobs << " changes and " << static_cast<double>(load.bytes) / jobs
-            << " bytes written for each, " << load.most_queued << " records queued at most, " << load.most_entries
-            << " entries at most; users answered within 0.2 s " << load.within(0, kLasts, 0.2) << ", in the last minute "
-            << load.within(kLasts - 60, kLasts, 0.2) << ", within 1 s " << load.within(0, kLasts, 1) << "\n";
+  std::cout << accepted << " jobs: " << static_cast<double>(load.changes) / jobs << " changes and "
+            << static_cast<double>(load.bytes) / jobs << " bytes written for each, " << load.most_queued << " records queued at most, "
+            << load.most_entries << " entries at most; users answered within 0.2 s " << load.within(0, kLasts, 0.2)
+            << ", in the last minute " << load.within(kLasts - 60, kLasts, 0.2) << ", within 1 s " << load.within(0, kLasts, 1) << "\n";
   EXPECT_GT(accepted, 1000);
   EXPECT_LT(load.most_queued, kMostQueued / 10);
   EXPECT_EQ(load.within(0, kLasts, 1), 1.0);
--- a/tests/silence_test.cpp
+++ b/tests/silence_test.cpp
@@ -17,9 +17,7 @@
 struct Fleet {
   explicit Fleet(unsigned seed, double share_lost, bool cut, double after) {
     std::mt19937 random(seed);
-    const auto uniform = [&](double a, double b) {
-      return std::uniform_real_distribution<double>(a, b)(random);
-    };
+    const auto uniform = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); };
     for (std::uint32_t i = 0; i < 600; ++i) {
       const ZoneIdx zone{i % 2};
       const bool gone = (cut && zone.v == 0) || (!cut && uniform(0, 1) < share_lost);
@@ -35,8 +33,7 @@
 TEST(Silence, AZoneThatIsCutIsNeverDoubted) {
   for (unsigned seed = 1; seed <= 20; ++seed)
     for (double after = 1; after < 120; after += 0.25)
-      EXPECT_TRUE(doubtful(Fleet(seed, 0, true, after).machines, kReport).empty())
-          << "seed " << seed << " after " << after;
+      EXPECT_TRUE(doubtful(Fleet(seed, 0, true, after).machines, kReport).empty()) << "seed " << seed << " after " << after;
   // In its first second some of it are late before the rest has fallen silent. They are asked, which takes a
   // second, and looked at once more: no machine that a cut hides is doubted both times.
 }
@@ -53,8 +50,7 @@
 }
 
 TEST(Silence, OneOfTwoMachinesOfAZoneIsFound) {
-  const std::vector<HeardOf> two{{HostIdx{0}, ZoneIdx{0}, 1, true, true},
-                                 {HostIdx{1}, ZoneIdx{0}, 9, true, true}};
+  const std::vector<HeardOf> two{{HostIdx{0}, ZoneIdx{0}, 1, true, true}, {HostIdx{1}, ZoneIdx{0}, 9, true, true}};
   EXPECT_EQ(doubtful(two, kReport), std::vector<HostIdx>{HostIdx{1}});
 }
 
--- a/tests/stored_test.cpp
+++ b/tests/stored_test.cpp
@@ -59,13 +59,11 @@
                                   TeamRecord{"gone", terms, std::nullopt, true}};
   EXPECT_EQ(stored_entry(teams, {3, 0, 8, 0x0123456789abcdef}), lines.at("level-3"));
   const auto read = parse_entry(lines.at("level-3")).records;
-  for (std::size_t i = 0; i < teams.size(); ++i)
-    EXPECT_EQ(std::get<TeamRecord>(read.at(i)), std::get<TeamRecord>(teams[i]));
+  for (std::size_t i = 0; i < teams.size(); ++i) EXPECT_EQ(std::get<TeamRecord>(read.at(i)), std::get<TeamRecord>(teams[i]));
   for (const auto* name : {"level-1", "level-2"}) {
     const auto entry = parse_entry(lines.at(name));
     EXPECT_EQ(entry.seq, 7u);
-    EXPECT_EQ(stored_entry(entry.records, {1, 0, 7, 0}), lines.at("level-1"))
-        << "nothing is lost from " << name;
+    EXPECT_EQ(stored_entry(entry.records, {1, 0, 7, 0}), lines.at("level-1")) << "nothing is lost from " << name;
   }
   // Level 4: jobs that wait for others, and what is kept of their ends; an entry that tells its number.
   auto waits = submission("j-9", 2, 1);
@@ -138,8 +136,7 @@
   std::vector<std::string> values, older;
   std::uint64_t link = 0;
   for (std::uint64_t n = 0; n < 4; ++n) {
-    std::vector<Record> records{
-        AcceptRecord{submission("j-" + std::to_string(n), 1, 1), 0.5, 1.0 * static_cast<double>(n)}};
+    std::vector<Record> records{AcceptRecord{submission("j-" + std::to_string(n), 1, 1), 0.5, 1.0 * static_cast<double>(n)}};
     older.push_back(stored_entry(records, {2, 0, 2 * n + 1, link}));
     records.emplace_back(CancelRecord{"j-" + std::to_string(n)});
     values.push_back(stored_entry(records, {2, 0, 2 * n + 2, link}));
@@ -150,28 +147,22 @@
     Book book = book_of_red(10);
     Reader reader(book, 1, 2);
     for (const auto& [n, value] : entries) {
-      const auto page =
-          parse_entries(R"({"rows":[{"path":")" + entry_key(n) + R"(","value":)" + value + "}]}");
+      const auto page = parse_entries(R"({"rows":[{"path":")" + entry_key(n) + R"(","value":)" + value + "}]}");
       if (!reader.take(page.rows.at(0))) return reader.why();
     }
     return reader.finish() ? std::string() : reader.why();
   };
-  const std::map<std::uint64_t, std::string> whole{
-      {0, values[0]}, {1, values[1]}, {2, values[2]}, {3, values[3]}};
+  const std::map<std::uint64_t, std::string> whole{{0, values[0]}, {1, values[1]}, {2, values[2]}, {3, values[3]}};
   EXPECT_EQ(why(whole), "");
   auto suffix = whole;
   suffix.erase(0);
   EXPECT_EQ(why(suffix), "") << "the oldest go when they are not needed any more";
   auto hole = whole;
   hole.erase(1);
-  EXPECT_NE(why(hole).find("ledger/000000000002 can't be read: it does not follow entry 0"),
-            std::string::npos)
-      << why(hole);
+  EXPECT_NE(why(hole).find("ledger/000000000002 can't be read: it does not follow entry 0"), std::string::npos) << why(hole);
   auto back = whole;
   back[2] = older[2];
-  EXPECT_NE(why(back).find("ledger/000000000003 can't be read: it does not follow entry 2"),
-            std::string::npos)
-      << why(back);
+  EXPECT_NE(why(back).find("ledger/000000000003 can't be read: it does not follow entry 2"), std::string::npos) << why(back);
   // Each byte of an entry, changed: unreadable, or the same values.
   std::size_t told = 0;
   for (std::size_t i = 0; i < values[2].size(); ++i) {
@@ -184,8 +175,7 @@
   EXPECT_GT(told, 100u);
   auto future = whole;
   future[2].replace(future[2].find("\"level\":2"), 9, "\"level\":3");
-  EXPECT_NE(why(future).find("it is of state level 3, and this build reads 1 to 2"), std::string::npos)
-      << why(future);
+  EXPECT_NE(why(future).find("it is of state level 3, and this build reads 1 to 2"), std::string::npos) << why(future);
 }
 
 TEST(StandingBack, IsLongerWhereItComesToThatAgainAndAgain) {
--- a/tests/town.hpp
+++ b/tests/town.hpp
@@ -8,26 +8,31 @@
 
 namespace thistle::testing_ {
 
-inline void wait(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
+inline void wait(double seconds) {
+  std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
 
 class Town : public testing::Test {
  protected:
   explicit Town(rig::Times t) : times(t), checker({{"red", 1000}}, t.cancel) {}
   // `site`: of all controllers; the machines are in zone x.
   void begin(std::size_t n, std::size_t machines, const std::string& site = "", const Tuning& tuning = one_level()) {
-    cluster = std::make_unique<Cluster>(n, 1, std::vector<Tuning>{tuning}, [&](auto& settings) {
-      for (std::size_t i = 0; i < n; ++i) {
-        Settings& s = settings[i];
-        s.site = site;
-        s.report_s = times.report, s.lease_s = times.lease, s.cancel_s = times.cancel;
-        for (auto& peer : s.peers) {
-          const std::size_t k = std::stoul(peer.label.substr(5));
-          peer.site = site;
-          relays[{i, k}] = std::make_unique<rig::Relay>(peer.address);
-          peer.address = relays[{i, k}]->address();
-        }
-      }
-    }, cloud);
+    cluster = std::make_unique<Cluster>(
+        n, 1, std::vector<Tuning>{tuning},
+        [&](auto& settings) {
+          for (std::size_t i = 0; i < n; ++i) {
+            Settings& s = settings[i];
+            s.site = site;
+            s.report_s = times.report, s.lease_s = times.lease, s.cancel_s = times.cancel;
+            for (auto& peer : s.peers) {
+              const std::size_t k = std::stoul(peer.label.substr(5));
+              peer.site = site;
+              relays[{i, k}] = std::make_unique<rig::Relay>(peer.address);
+              peer.address = relays[{i, k}]->address();
+            }
+          }
+        },
+        cloud);
     for (std::size_t i = 0; i < machines; ++i)
       workers.push_back(std::make_unique<rig::Worker>("m-" + std::to_string(i), "x", cluster->users, checker, times, 7 + i));
     ticker = std::jthread([this](std::stop_token stop) {
