--- a/rig/scale/hollow_fleet.hpp
+++ b/rig/scale/hollow_fleet.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 #include <unordered_map>
+#include <utility>  // before Boost.Asio's awaitable, which uses std::exchange without it
 #include <vector>
 
 namespace thistle::rig {
