--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -48,7 +48,7 @@
     is_new[i] = newer;
     std::vector<std::string> flags;
     if (newer && plan.soak > 0) flags = {"--state-level-soak", std::to_string(plan.soak)};
-    if (newer && (plan.intake == "on" || (plan.intake == "drawn" && random() % 2))) flags.insert(flags.end(), {"--intake", "true"});
+    if (newer && (plan.intake == "on" || (plan.intake == "drawn" && random() % 2))) flags.insert(flags.end(), {"--intake", "on"});
     flags.insert(flags.end(), more.begin(), more.end());
     cluster.start(i, newer ? plan.newer : plan.older, flags);
   }
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -78,7 +78,7 @@
   duties_.emplace_back([this](std::stop_token st) { pass_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { cloud_duty(st); });
   duties_.emplace_back([this](std::stop_token st) { rollout_duty(st); });
-  if (tuning_.intake) duties_.emplace_back([this](std::stop_token st) { intake_.run(st); });
+  if (tuning_.intake != IntakeMode::off) duties_.emplace_back([this](std::stop_token st) { intake_.run(st); });
   for (std::size_t i = 0; i < links_.size(); ++i) duties_.emplace_back([this, i](std::stop_token st) { peer_duty(st, i); });
   duties_.emplace_back([this](std::stop_token st) { leadership_duty(st); });
   spdlog::info("{} serves on {}, peers on {}", settings_.label, settings_.client_listen, settings_.peer_listen);
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -90,6 +90,7 @@
     std::set<JobIdx> within;            // their teams' guarantees, as the last pass saw it
     Floor floor;                        // by the numbers of this term's book
     ReportReceiver intake_reports;      // that other controllers passed on
+    bool takes_batches = false;         // of reports; once it does, it does so to its end
     WorkerBalance balance;              // of workers over the controllers
     double commands_failing_since = 0;  // steady seconds: no direct command was answered since; 0: the latest one was
     std::size_t own_workers = 0;        // that report to this controller itself, as counted last
--- a/src/coordination/intake_sender.cpp
+++ b/src/coordination/intake_sender.cpp
@@ -120,6 +120,7 @@
   cut_off_ = false;
   asked_at_ = steady_now();
   taken_ = reply->status == 200 ? Taken::yes : Taken::no;
+  in_use_ = taken_ == Taken::yes;
   if (taken_ == Taken::no) refuse_all();
 }
 
@@ -198,7 +199,7 @@
 }
 
 void IntakeSender::note_failure(double since) {
-  const bool reaches_state = reaches_state_();
+  const bool reaches_state = !in_use() || reaches_state_();
   std::lock_guard lock(mutex_);
   cut_off_ = !reaches_state;
   if (failing_since_ == 0) failing_since_ = since;
@@ -208,6 +209,11 @@
   refuse_all();
 }
 
+bool IntakeSender::in_use() const {
+  std::lock_guard lock(mutex_);
+  return in_use_;
+}
+
 bool IntakeSender::cut_off() const {
   std::lock_guard lock(mutex_);
   return cut_off_;
--- a/src/coordination/intake_sender.hpp
+++ b/src/coordination/intake_sender.hpp
@@ -51,6 +51,8 @@
   // Neither the leader nor the state service is reached: a cut, with this controller inside. Where the state service is reached, the
   // workers may well reach the leader themselves.
   [[nodiscard]] bool cut_off() const;
+  // The latest lead that answered takes batches: reports wait for the next one to say so too.
+  [[nodiscard]] bool in_use() const;
   // This controller leads now: what waits is answered here.
   void release_all();
   // Sends batches until asked to stop.
@@ -105,6 +107,7 @@
   std::uint32_t send_away_ = 0;
   std::string send_to_;
   bool cut_off_ = false;
+  bool in_use_ = false;
 };
 
 }  // namespace thistle
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -145,6 +145,8 @@
   ++term_number_;
   role_ = Role::recovering;
   learn(epoch, settings_.label);
+  // What the lead before took is taken on, so that workers stay where they are.
+  term_->takes_batches = tuning_.intake != IntakeMode::off && intake_.in_use();
   intake_.release_all();
   spdlog::info("takes over as leader, epoch {}", epoch);
   role_changed_.notify_all();
--- a/src/coordination/requests.cpp
+++ b/src/coordination/requests.cpp
@@ -101,7 +101,12 @@
 HttpReply Controller::takes_batches() {
   Lock lock(mutex_);
   if (role_ == Role::follower) return error_reply(503, kUnavailable, kRetryAfter);
-  return tuning_.intake ? HttpReply{200, "{}"} : error_reply(404, "batches of reports are switched off");
+  const bool needed =
+      tuning_.intake == IntakeMode::automatic && term_->book && intake_needed(term_->book->host_count(), settings_.cpu, budget_.clients);
+  if (tuning_.intake == IntakeMode::on || needed) term_->takes_batches = true;
+  if (term_->takes_batches) return {200, "{}"};
+  if (!term_->book) return error_reply(503, kUnavailable, kRetryAfter);
+  return error_reply(404, "batches of reports are not taken");
 }
 
 HttpReply Controller::on_user(const UserRoute& route, std::string_view body) {
@@ -319,7 +324,8 @@
     ++counters_.kept;
     return HttpReply{200, orders_body(custody_.epoch(), {})};
   };
-  if (tuning_.intake) {
+  const bool by_intake = tuning_.intake != IntakeMode::off && intake_.in_use();
+  if (by_intake) {
     if (const auto other = intake_.send_away()) return {421, steward_body(*other)};
     if (auto reply = report_by_intake(lock, report)) return *reply;
     if (role_ != Role::follower) return report_to_leader(lock, report, ReportWay::direct);
@@ -340,7 +346,7 @@
   auto& bounce = bounces_[report.host];
   // Shortly after a takeover it was more likely greeted by a command: it has not tried yet.
   // Nor does its epoch tell where workers stay with any controller.
-  const bool was_there = !tuning_.intake && report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
+  const bool was_there = !by_intake && report.epoch >= known_takeover_ && now - leader_since_ > kGreeted * settings_.lease_s;
   const bool left_leader = was_there || now - bounce.redirected_at < kBounceWindow;
   if (now >= bounce.forward_until) {
     if (!left_leader || bounce.forward_until > 0) {
@@ -382,7 +388,7 @@
 HttpReply Controller::report_to_leader(Lock& lock, const Report& report, ReportWay way) {
   if (!term_->book && way == ReportWay::direct && unread_since_ == 0) await_ledger(lock);
   if (role_ == Role::follower) return {421, steward_body("")};
-  if (tuning_.intake && way == ReportWay::direct && decisive()) {
+  if (term_->takes_batches && way == ReportWay::direct && decisive()) {
     const double now = steady_now();
     if (const auto other = term_->balance.from_leader(own_workers(now), now)) return {421, steward_body(*other)};
   }
@@ -460,7 +466,7 @@
   Lock lock(mutex_);
   IntakeAnswer out;
   // Of another lead, or of none: its sender looks again who leads.
-  if (!tuning_.intake || role_ == Role::follower || batch->takeover != term_->takeover_epoch) return pack(out);
+  if (role_ == Role::follower || !term_->takes_batches || batch->takeover != term_->takeover_epoch) return pack(out);
   out.takeover = batch->takeover;
   out.epoch = term_->epoch;
   const double now = steady_now();
--- a/src/coordination/tuning.hpp
+++ b/src/coordination/tuning.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "intake/intake_mode.hpp"
 #include "rollout/levels.hpp"
 
 namespace thistle {
@@ -17,7 +18,7 @@
   double state_level_soak_s = 2;                          // all controllers must have had a level for so long
   std::uint32_t state_level_reads = rollout::kMostLevel;  // tests alone: plays an older build
   bool rent = true;                                       // rent machines for work that can't be served in time
-  bool intake = false;                                    // workers may report to any controller, which passes their reports on in batches
+  IntakeMode intake = IntakeMode::automatic;              // workers may report to any controller, which passes it on
 };
 
 }  // namespace thistle
--- /dev/null
+++ b/src/intake/intake_mode.hpp
@@ -0,0 +1,16 @@
+// Whether a leader takes its workers' reports by way of other controllers. Pure.
+#pragma once
+#include <cstddef>
+
+namespace thistle {
+
+enum class IntakeMode {
+  off,
+  on,
+  automatic,  // where holding all workers itself would take too much of the leader's processor, threads or sockets
+};
+
+// What `automatic` decides. `processor_share`: of one core, 0 where it is not known; `most_connections`: of users and workers.
+bool intake_needed(std::size_t workers, double processor_share, std::size_t most_connections);
+
+}  // namespace thistle
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <thread>
 
 #include "coordination/budget.hpp"
@@ -54,9 +55,13 @@
   app.add_option("--rent", tuning.rent, "rent machines for work that can't be served in time")
       ->envname("THISTLEFRONT_RENT")
       ->capture_default_str();
-  app.add_option("--intake", tuning.intake, "workers stay with any controller, which passes their reports to the leader in batches")
+  const std::map<std::string, thistle::IntakeMode> intake_modes{
+      {"off", thistle::IntakeMode::off}, {"on", thistle::IntakeMode::on}, {"auto", thistle::IntakeMode::automatic}};
+  app.add_option("--intake", tuning.intake,
+                 "workers stay with any controller, which passes their reports to the leader in batches: on, off or auto")
       ->envname("THISTLEFRONT_INTAKE")
-      ->capture_default_str();
+      ->transform(CLI::CheckedTransformer(intake_modes))
+      ->default_str("auto");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -39,7 +39,7 @@
 inline Tuning one_level() {
   Tuning t;
   t.state_level_soak_s = 600;
-  t.intake = std::getenv("THISTLEFRONT_TEST_INTAKE") != nullptr;
+  t.intake = std::getenv("THISTLEFRONT_TEST_INTAKE") != nullptr ? IntakeMode::on : IntakeMode::off;
   return t;
 }
 
--- a/tests/intake_controllers_test.cpp
+++ b/tests/intake_controllers_test.cpp
@@ -30,7 +30,7 @@
   }
   static Tuning tuning(bool intake) {
     Tuning out = testing_::one_level();
-    out.intake = intake;
+    out.intake = intake ? IntakeMode::on : IntakeMode::off;
     return out;
   }
   void begin_with_work(bool intake = true) {
