--- a/tests/intake_controllers_test.cpp
+++ b/tests/intake_controllers_test.cpp
@@ -16,7 +16,7 @@
 using testing_::wait;
 
 constexpr rig::Times kTimes{0.5, 5, 20, 0.1};  // report, lease, cancel, pull
-constexpr std::size_t kMachines = 20, kTasks = 2;
+constexpr std::size_t kMachinesPerController = 8, kTasks = 2;
 
 class IntakeOf : public testing_::Town, public testing::WithParamInterface<std::size_t> {
  protected:
@@ -34,7 +34,7 @@
     return out;
   }
   void begin_with_work(bool intake = true) {
-    begin(GetParam(), kMachines, "x", tuning(intake));
+    begin(GetParam(), kMachinesPerController * GetParam(), "x", tuning(intake));
     all_begun = true;
     for (int i = 0; i < 6; ++i) {
       jobs.push_back("j-" + std::to_string(i + 1));
