--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,7 @@
-"""A pipeline with two jobs a stage; only its last job has a deadline. See claim.txt."""
+"""A pipeline of many stages; only its last job has a deadline. See claim.txt."""
+import concurrent.futures
 import os
+import random
 import sys
 import threading
 import time
@@ -9,40 +11,47 @@
 from stand_ins import Deployment, Record, job, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STAGES = int(os.environ.get("STAGES", "30"))
+SHAPE = os.environ.get("SHAPE", "growing")  # or "many", see claim.txt
 UNANSWERED_S = 75.0  # of the page: no question about the job is answered for 75 s
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
-def pipeline():
-    """Each stage has a long job and a short one; the next stage needs both. The long jobs take twice as long with each stage."""
+def stages_of_many(width=100, count=20, seed=1):
+    """Each stage has `width` jobs and needs all of the stage before. Estimates from 8 to 30 s, as the brief's classes have."""
+    draw, stages, before = random.Random(seed), [], []
+    for stage in range(count):
+        uids = [f"j-{1000 + stage * width + n:06}" for n in range(width)]
+        stages.append([job(uid, jobClass="recorte", expectedS=round(draw.uniform(8, 30), 1), waitsOn=before, runS=30.0) for uid in uids])
+        before = uids
+    return stages
+
+
+def stages_that_grow(width=8, count=11, unit_s=0.000002):
+    """Each stage has `width` jobs and one that needs all of them; the next stage needs that one. Estimates grow from stage to stage, from
+    10 s to 4.2 hours; in `waitsOn` the longest job of a stage is named first."""
     stages, before, number = [], [], 1000
-    for stage in range(STAGES):
-        pair = []
-        for expected_s in (10 + 0.00002 * 2**stage, 10.0):
-            number += 1
-            pair.append(job(f"j-{number:06}", jobClass="recorte", expectedS=round(expected_s, 5), waitsOn=before, runS=30.0))
-        number += 1
-        joint = job(f"j-{number:06}", jobClass="calibracion", expectedS=10.0, waitsOn=[j["uid"] for j in pair], runS=30.0)
-        stages += [pair, [joint]]
+    for stage in range(count):
+        longer_s = [n * unit_s * width**stage for n in range(width)]
+        specs = [job(f"j-{number + n:06}", jobClass="recorte", expectedS=round(10 + longer_s[n], 6), waitsOn=before, runS=30.0)
+                 for n in range(width)]
+        joint = job(f"j-{number + width:06}", jobClass="calibracion", expectedS=10.0, waitsOn=[s["uid"] for s in reversed(specs)], runS=30.0)
+        stages += [specs, [joint]]
         before = [joint["uid"]]
+        number += width + 1
+    return stages
+
+
+def pipeline():
+    stages = stages_of_many() if SHAPE == "many" else stages_that_grow()
     # The deadline is on the last job only, as the page says.
-    due_s = 30000.0 if TROUBLE else None
-    last = job(f"j-{number + 1:06}", jobClass="publicacion", rank="high", expectedS=8.0, waitsOn=before, dueS=due_s, runS=8.0)
+    last = job("j-009999", jobClass="publicacion", rank="high", expectedS=8.0, waitsOn=[j["uid"] for j in stages[-1]],
+               dueS=30000.0 if TROUBLE else None, runS=8.0)
     return stages, last
 
 
 def submit_all(deployment, specs):
-    statuses = [0] * len(specs)
-
-    def submit(index):
-        statuses[index] = deployment.submit(specs[index], give_up_s=30)
-
-    threads = [threading.Thread(target=submit, args=(i,)) for i in range(len(specs))]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with concurrent.futures.ThreadPoolExecutor(24) as users:
+        statuses = list(users.map(lambda spec: deployment.submit(spec, give_up_s=30), specs))
     return all(status in (200, 201) for status in statuses)
 
 
@@ -53,7 +62,6 @@
         return run(deployment, record)
     finally:
         deployment.stop()
-        record.close()
 
 
 def run(deployment, record):
