--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A service without GPUs that fits `tensor` machines only, after a burst of GPU jobs. See claim.txt."""
+"""More replicas of the viewer than the other machines hold, after a burst of GPU jobs. See claim.txt."""
 import os
 import sys
 import time
@@ -8,27 +8,28 @@
 from stand_ins import Deployment, Record, job, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+SERVICES = 8
 WAITING_S = 90.0  # of the page: no job is left waiting for 90 s while a machine that fits has room
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def main():
     record = Record(os.path.join(HERE, "record.txt"))
-    deployment = Deployment(record, [("tensor", "palermo"), ("tensor", "cordoba"), ("mediano", "palermo"), ("mediano", "cordoba")])
+    deployment = Deployment(record, [("tensor", "palermo"), ("tensor", "cordoba"), ("chico", "palermo"), ("chico", "cordoba")])
     try:
         return run(deployment, record)
     finally:
         deployment.stop()
 
 
-def tasks_on_machines(deployment, uid=None):
-    found = []
-    for worker in list(deployment.cloud.workers.values()):
-        with worker.lock:
-            for (piece, attempt), task in worker.tasks.items():
-                if task["status"] != "exited" and (uid is None or piece.startswith(uid + "/")):
-                    found.append((worker.name, piece, attempt))
-    return found
+def pieces_on(worker):
+    with worker.lock:
+        return [piece for (piece, _), task in worker.tasks.items() if task["status"] != "exited"]
+
+
+def free(worker, kind):
+    with worker.lock:
+        return worker.flavor[kind] - sum(task["job"][kind] for task in worker.tasks.values() if task["status"] != "exited")
 
 
 def run(deployment, record):
@@ -49,28 +50,35 @@
             record("the training jobs are not done")
             return NOT_RUN
         time.sleep(0.5)
-    # 100 GB fit a `tensor` machine and no other; the team has 424 CPUs.
-    viewer = job("j-000002", jobClass="visor", owner="curaduria", shape="service", rank="prod", cores=4.0, ramGb=100.0, bundle="img-03",
-                 pullGb=0.8, expectedS=0.0, runS=None)
-    if deployment.submit(viewer, 20) not in (200, 201):
-        return NOT_RUN
-    began = empty_since = now()
+    # As in the brief: services of four tasks of 1 CPU and 1.7 GB, production, spread over zones.
+    viewers = [job(f"j-{200 + n:06}", jobClass="visor", owner="curaduria", shape="service", rank="prod", pieces=4, ramGb=1.7, spread=True,
+                   bundle="img-03", pullGb=0.8, expectedS=0.0, runS=None) for n in range(SERVICES)]
+    for viewer in viewers:
+        if deployment.submit(viewer, 20) not in (200, 201):
+            return NOT_RUN
+    machines = list(deployment.cloud.workers.values())
+    tensors = [w for w in machines if w.flavor["sku"] == "tensor"]
+    began = room_since = now()
     while True:
-        if tasks_on_machines(deployment, "j-000002"):
-            record(f"the rule held: started after {now() - began:.1f} s")
+        on_machines = [piece for w in machines for piece in pieces_on(w)]
+        waiting = [v["uid"] for v in viewers if not any(piece.startswith(v["uid"] + "/") for piece in on_machines)]
+        if len(on_machines) == 4 * SERVICES:
+            record(f"the rule held: all {len(on_machines)} replicas were started after {now() - began:.1f} s")
             return HELD
-        free = [w for w in list(deployment.cloud.workers.values()) if w.flavor["sku"] == "tensor" and not w.ended]
-        if not free or tasks_on_machines(deployment):
-            empty_since = now()  # no machine that fits, or something runs: nothing is concluded from this time
-        if now() - empty_since > WAITING_S:
-            status = deployment.poll("j-000002")
-            record(f"RULE BROKEN: j-000002 was accepted and has waited for {now() - began:.0f} s, {status}, while "
-                   f"{', '.join(w.name for w in free)} (tensor, 64 CPUs, 384 GB) had nothing on them and its team used nothing")
+        # A service none of whose replicas runs may have two in each zone.
+        if not waiting or any(w.ended or free(w, "cores") < 2 or free(w, "ramGb") < 4 for w in tensors):
+            room_since = now()
+        if now() - room_since > WAITING_S:
+            for uid in waiting:
+                deployment.poll(uid)
+            room = ", ".join(f"{w.name} (tensor, {w.zone}) with {free(w, 'cores'):.0f} of 64 CPUs free" for w in tensors)
+            record(f"RULE BROKEN: {', '.join(waiting)} (visor, rank prod) were accepted and have waited for {now() - room_since:.0f} s, no "
+                   f"replica of them was started; there are {room}; their team uses {len(on_machines)} of 424 CPUs")
             return BROKEN
         if now() - began > 100:
-            record("machines were not free for long enough")
+            record(f"{len(on_machines)} replicas were started, and no service waited as a whole")
             return NOT_RUN
-        deployment.poll("j-000002")
+        deployment.poll(viewers[-1]["uid"])
         time.sleep(2)
 
 
