dependency graph: the urgency of a pipeline is computed in topological order

Cause: propagate_urgency went depth first through all jobs that a job needs, and through all below a job again each time its deadline became earlier: once for each path, 8^11 of them. The leader did so under the mutex of SharedState, a successor while it read the ledger, before it took the leader key.

Evidence: stacks of the busy thread of all three processes (LedgerCommitter::apply, LedgerRecovery::read).

Fix: jobs are visited dependents first, by rank, each once; while the ledger is read the urgency is computed once, at its end. The new metric dependency_steps_total counts the visits.

--- a/src/cluster_state/cluster_state.hpp
+++ b/src/cluster_state/cluster_state.hpp
@@ -43,6 +43,11 @@
   // Applies the next record of the ledger. A record that no longer fits the state (such as a start of a cancelled job) has no
   // effect.
   void apply(const Record& record);
+  // The same while a ledger is read: the urgency that jobs inherit from their dependents is not up to date until finish_replay(),
+  // so that it is computed once for the whole ledger instead of once for each record.
+  void replay(const Record& record);
+  // Call it after the last record was replayed.
+  void finish_replay() { update_inherited_urgency(); }
 
   // Jobs. Indices stay valid for the lifetime of the cluster state.
   [[nodiscard]] JobIndex find(std::string_view uid) const;
@@ -148,6 +153,7 @@
     apply_dependency_changes(changes);
   }
   void apply_dependency_changes(const DependencyGraph::JobChanges& changes);
+  void update_inherited_urgency();
   // Whether some dependency of the job has not been read completely from the ledger.
   [[nodiscard]] bool is_replay_incomplete(JobIndex job_index) const;
 
--- a/src/cluster_state/dependency_graph.cpp
+++ b/src/cluster_state/dependency_graph.cpp
@@ -10,16 +10,8 @@
 
 namespace {
 const std::vector<JobIndex> kNoJobs;
-
-bool contains(const std::vector<JobIndex>& jobs, JobIndex job) {
-  return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
-}
 }  // namespace
 
-Urgency more_urgent(const Urgency& a, const Urgency& b) {
-  return {std::max(a.priority, b.priority), std::min(a.deadline_at, b.deadline_at)};
-}
-
 const DependencyGraph::Vertex* DependencyGraph::find(JobIndex job) const {
   const auto it = vertices_.find(job);
   return it == vertices_.end() ? nullptr : &it->second;
@@ -32,6 +24,7 @@
   vertex.own = own;
   vertex.estimated_run_s = run_s;
   vertex.eligible_since = accepted_at;
+  vertex.rank = ++last_rank_;
   vertex.blocked = true;
   ++blocked_;
   bool cancelled = false;
@@ -39,7 +32,7 @@
     switch (statuses[i].state) {
       case DependencyStatus::State::done: break;  // done before this job was accepted
       case DependencyStatus::State::cancelled: cancelled = true; break;
-      case DependencyStatus::State::pending: add_edge(job, statuses[i].job, changes); break;
+      case DependencyStatus::State::pending: add_edge(job, statuses[i].job); break;
       case DependencyStatus::State::unresolved:
         unresolved_[names[i]].push_back(job);
         ++vertices_[job].unresolved;
@@ -53,10 +46,15 @@
   }
 }
 
-void DependencyGraph::add_edge(JobIndex job, JobIndex dependency, JobChanges& changes) {
-  vertices_[job].dependencies.push_back(dependency);
-  vertices_[dependency].dependents.push_back(job);
-  propagate_urgency({dependency}, changes);
+void DependencyGraph::add_edge(JobIndex job, JobIndex dependency) {
+  Vertex& dependency_vertex = vertices_[dependency];
+  Vertex& vertex = vertices_.at(job);
+  vertex.dependencies.push_back(dependency);
+  dependency_vertex.dependents.push_back(job);
+  ++steps_;
+  // While the ledger is read, a job may be read before its dependency.
+  if (dependency_vertex.rank >= vertex.rank) ranks_outdated_ = true;
+  raise_required(dependency, dependency_vertex, urgency_required_by(vertex));
 }
 
 void DependencyGraph::resolve_name(const std::string& name, const DependencyStatus& status, JobChanges& changes) {
@@ -73,7 +71,7 @@
   --it->second.unresolved;
   switch (status.state) {
     case DependencyStatus::State::cancelled: cancel_with_dependents(job, changes); break;
-    case DependencyStatus::State::pending: add_edge(job, status.job, changes); break;
+    case DependencyStatus::State::pending: add_edge(job, status.job); break;
     case DependencyStatus::State::unresolved:
     case DependencyStatus::State::done:
       if (status.done_at > 0) {
@@ -103,11 +101,13 @@
   if (it->second.blocked) mark_unblocked(it->second);
   const auto dependents = it->second.dependents;
   for (const JobIndex dependent : dependents) {
-    if (std::erase(vertices_.at(dependent).dependencies, job) == 0) continue;
+    auto& dependencies = vertices_.at(dependent).dependencies;
+    steps_ += 1 + dependencies.size();
+    if (std::erase(dependencies, job) == 0) continue;
     record_completed_dependency(dependent, job, done_at);
     update_eligibility(dependent, changes);
   }
-  detach(job, changes);
+  detach(job);
 }
 
 void DependencyGraph::update_eligibility(JobIndex job, JobChanges& changes) {
@@ -147,6 +147,7 @@
     const auto dependents = std::exchange(vertex.dependents, {});
     for (const JobIndex dependent_job : dependents) {
       Vertex& dependent = vertices_.at(dependent_job);
+      steps_ += 1 + dependent.dependencies.size();
       std::erase(dependent.dependencies, cancelled);
       if (dependent.ended) continue;
       dependent.ended = true;  // so that it is cancelled only once if several paths lead to it
@@ -154,62 +155,43 @@
       ++cancelled_;
       remaining.push_back(dependent_job);
     }
-    detach(cancelled, changes);
+    detach(cancelled);
   }
 }
 
-void DependencyGraph::mark_eligible(JobIndex job, JobChanges& changes) {
+void DependencyGraph::mark_eligible(JobIndex job) {
   const auto it = vertices_.find(job);
   if (it == vertices_.end() || !it->second.blocked) return;
   Vertex& vertex = it->second;
   vertex.unresolved = 0;
   const auto dependencies = std::exchange(vertex.dependencies, {});
   for (const JobIndex dependency : dependencies) std::erase(vertices_.at(dependency).dependents, job);
-  propagate_urgency(dependencies, changes);
+  recompute_required_later(dependencies);
   mark_unblocked(vertex);
   ++eligible_;
   for (const JobIndex dependency : dependencies) erase_if_unused(dependency);
   erase_if_unused(job);
 }
 
-void DependencyGraph::detach(JobIndex job, JobChanges& changes) {
+void DependencyGraph::detach(JobIndex job) {
   Vertex& vertex = vertices_.at(job);
   const auto dependencies = std::exchange(vertex.dependencies, {});
   auto all_dependencies = std::exchange(vertex.completed_dependencies, {});
   all_dependencies.insert(all_dependencies.begin(), dependencies.begin(), dependencies.end());
-  for (const JobIndex dependency : all_dependencies)
-    if (const auto it = vertices_.find(dependency); it != vertices_.end()) std::erase(it->second.dependents, job);
-  propagate_urgency(dependencies, changes);
+  for (const JobIndex dependency : all_dependencies) {
+    const auto it = vertices_.find(dependency);
+    if (it == vertices_.end()) continue;
+    steps_ += 1 + it->second.dependents.size();
+    std::erase(it->second.dependents, job);
+  }
+  recompute_required_later(dependencies);
   for (const JobIndex dependency : all_dependencies) erase_if_unused(dependency);
   erase_if_unused(job);
 }
 
-// Recomputes the required urgency of these jobs and, where it changes, that of their dependencies.
-void DependencyGraph::propagate_urgency(std::vector<JobIndex> jobs, JobChanges& changes) {
-  while (!jobs.empty()) {
-    const JobIndex job = jobs.back();
-    jobs.pop_back();
-    const auto it = vertices_.find(job);
-    if (it == vertices_.end() || it->second.ended) continue;
-    Vertex& vertex = it->second;
-    const Urgency required = urgency_required_by_dependents(vertex);
-    if (required == vertex.required) continue;
-    vertex.required = required;
-    if (!contains(changes.urgency_changed, job)) changes.urgency_changed.push_back(job);
-    jobs.insert(jobs.end(), vertex.dependencies.begin(), vertex.dependencies.end());
-  }
-}
-
-// The job must be done early enough for each dependent to be done by its deadline.
-Urgency DependencyGraph::urgency_required_by_dependents(const Vertex& vertex) const {
-  Urgency required;
-  for (const JobIndex dependent_job : vertex.dependents) {
-    const Vertex& dependent = vertices_.at(dependent_job);
-    Urgency urgency = more_urgent(dependent.own, dependent.required);
-    urgency.deadline_at -= dependent.estimated_run_s;
-    required = more_urgent(required, urgency);
-  }
-  return required;
+void DependencyGraph::recompute_required_later(const std::vector<JobIndex>& jobs) {
+  for (const JobIndex job : jobs)
+    if (const auto it = vertices_.find(job); it != vertices_.end()) recompute_required_later(job, it->second);
 }
 
 void DependencyGraph::erase_if_unused(JobIndex job) {
@@ -217,7 +199,7 @@
   if (it == vertices_.end()) return;
   const Vertex& vertex = it->second;
   const bool has_dependencies = !vertex.dependencies.empty() || !vertex.completed_dependencies.empty();
-  const bool needed = vertex.blocked || !vertex.dependents.empty() || (!vertex.ended && has_dependencies);
+  const bool needed = vertex.blocked || vertex.queued || !vertex.dependents.empty() || (!vertex.ended && has_dependencies);
   if (!needed) vertices_.erase(it);
 }
 
@@ -246,13 +228,8 @@
   return vertex ? vertex->done_at : 0;
 }
 
-Urgency DependencyGraph::required_urgency(JobIndex job) const {
-  const Vertex* vertex = find(job);
-  return vertex ? vertex->required : Urgency{};
-}
-
 DependencyGraph::Counts DependencyGraph::counts() const {
-  return {blocked_, unresolved_.size(), eligible_, cancelled_};
+  return {blocked_, unresolved_.size(), eligible_, cancelled_, steps_};
 }
 
 }  // namespace thistlefront
--- a/src/cluster_state/dependency_graph.hpp
+++ b/src/cluster_state/dependency_graph.hpp
@@ -2,6 +2,9 @@
 // cancelled, and which priority and deadline a job inherits from its dependents. Only `ClusterState` calls it, with events from
 // ledger records; the result does not depend on the order in which the records are read. Proofs: docs/pipelines.md. No I/O and no
 // clock; times are wall-clock seconds.
+//
+// dependency_graph.cpp has eligibility and cancellation, inherited_urgency.cpp the urgency. Each event takes a number of steps that
+// is at most proportional to the jobs that it changes and their edges, however many paths lead through them.
 #pragma once
 #include <cstddef>
 #include <cstdint>
@@ -22,7 +25,7 @@
   friend bool operator==(const Urgency&, const Urgency&) = default;
 };
 // Combines the higher priority and the earlier deadline of both.
-Urgency more_urgent(const Urgency& a, const Urgency& b);
+[[nodiscard]] Urgency more_urgent(const Urgency& a, const Urgency& b);
 
 class DependencyGraph {
  public:
@@ -39,8 +42,12 @@
       double since;
     };
     std::vector<Eligible> eligible;
-    std::vector<JobIndex> cancelled;        // all dependents of a cancelled job, direct and indirect
-    std::vector<JobIndex> urgency_changed;  // their required urgency changed
+    std::vector<JobIndex> cancelled;  // all dependents of a cancelled job, direct and indirect
+  };
+  // The urgency that the direct and indirect dependents of a job now require of it.
+  struct RequiredUrgency {
+    JobIndex job;
+    Urgency required;
   };
 
   // Adds a job with dependencies `names` (no duplicates), which have these `statuses`. `own`: the job's own urgency; `run_s`: its
@@ -53,8 +60,11 @@
   // The job was done at `done_at` (0: not known, but before any of its dependents was accepted).
   void mark_done(JobIndex job, double done_at, JobChanges& changes);
   void mark_cancelled(JobIndex job, JobChanges& changes);
-  // A record shows that the job is eligible: removes its dependencies. The job itself is not added to `changes`.
-  void mark_eligible(JobIndex job, JobChanges& changes);
+  // A record shows that the job is eligible: removes its dependencies.
+  void mark_eligible(JobIndex job);
+  // Brings the urgency that dependents require up to date with all events since the last call, and returns the jobs for which it
+  // changed, each once. Visits a job at most once, however many events, dependents and paths lead to it.
+  [[nodiscard]] std::vector<RequiredUrgency> update_required_urgency();
 
   // Whether some dependency of the job is not done or has not been read.
   [[nodiscard]] bool is_blocked(JobIndex job) const;
@@ -65,14 +75,13 @@
   [[nodiscard]] bool has_dependents(JobIndex job) const;
   // When the job was done; 0: not known or not needed.
   [[nodiscard]] double done_at(JobIndex job) const;
-  // The urgency that its direct and indirect dependents require of it.
-  [[nodiscard]] Urgency required_urgency(JobIndex job) const;
 
   struct Counts {
     std::size_t blocked = 0;           // jobs that are blocked now
     std::size_t unresolved_names = 0;  // names of jobs that have not been read; 0 once the whole ledger has been read
     std::uint64_t eligible = 0;        // total of jobs that became eligible
     std::uint64_t cancelled = 0;       // total of jobs cancelled because a dependency was cancelled
+    std::uint64_t steps = 0;           // total of jobs and edges visited by all events, a measure of their cost
   };
   [[nodiscard]] Counts counts() const;
 
@@ -88,11 +97,16 @@
     double eligible_since = 0;  // lower bound while the job is blocked
     double done_at = 0;
     double estimated_run_s = 0;
-    Urgency own;       // set only for jobs with dependencies
-    Urgency required;  // urgency that the dependents require
+    Urgency own;                  // set only for jobs with dependencies
+    Urgency required;             // urgency that the dependents require
+    Urgency propagated_required;  // the value of `required` that its dependencies have taken into account
+    // Above the ranks of all its dependencies, unless `ranks_outdated_`. 0: had no dependencies when it was added.
+    std::uint64_t rank = 0;
+    bool queued = false;          // in `urgency_queue_`
+    bool must_recompute = false;  // `required` must be computed anew, because a dependent left or became less urgent
   };
   [[nodiscard]] const Vertex* find(JobIndex job) const;
-  void add_edge(JobIndex job, JobIndex dependency, JobChanges& changes);
+  void add_edge(JobIndex job, JobIndex dependency);
   // One of the job's unresolved dependencies was read and has this status.
   void resolve_dependency(JobIndex job, const DependencyStatus& status, JobChanges& changes);
   void record_completed_dependency(JobIndex job, JobIndex dependency, double done_at);
@@ -103,15 +117,31 @@
   void cancel_with_dependents(JobIndex job, JobChanges& changes);
   void cancel_dependents(JobIndex job, JobChanges& changes);
   // The job has ended: removes it from the dependents of its dependencies.
-  void detach(JobIndex job, JobChanges& changes);
-  void propagate_urgency(std::vector<JobIndex> jobs, JobChanges& changes);
-  [[nodiscard]] Urgency urgency_required_by_dependents(const Vertex& vertex) const;
+  void detach(JobIndex job);
+  // Dependents of these jobs left.
+  void recompute_required_later(const std::vector<JobIndex>& jobs);
   void erase_if_unused(JobIndex job);
 
+  // inherited_urgency.cpp
+  // A dependent requires at least this urgency of the job.
+  void raise_required(JobIndex job, Vertex& vertex, const Urgency& urgency);
+  // A dependent requires less of the job than before, or left.
+  void recompute_required_later(JobIndex job, Vertex& vertex);
+  void queue_for_update(JobIndex job, Vertex& vertex);
+  void propagate_required(JobIndex job, std::vector<RequiredUrgency>& changes);
+  // What a job requires of its dependencies, and what all dependents of a job require of it.
+  [[nodiscard]] static Urgency urgency_required_by(const Vertex& dependent);
+  [[nodiscard]] Urgency required_by_dependents(const Vertex& vertex);
+  // Ranks all jobs that have not ended in topological order.
+  void assign_ranks();
+
   std::unordered_map<JobIndex, Vertex> vertices_;
   std::unordered_map<std::string, std::vector<JobIndex>> unresolved_;  // dependents, by UID of a job that has not been read
   std::size_t blocked_ = 0;
-  std::uint64_t eligible_ = 0, cancelled_ = 0;
+  std::uint64_t eligible_ = 0, cancelled_ = 0, steps_ = 0;
+  std::vector<JobIndex> urgency_queue_;  // jobs whose `required` changed or must be computed anew, in no particular order
+  std::uint64_t last_rank_ = 0;
+  bool ranks_outdated_ = false;
 };
 
 }  // namespace thistlefront
--- a/src/cluster_state/job_dependencies.cpp
+++ b/src/cluster_state/job_dependencies.cpp
@@ -62,7 +62,7 @@
 
 void ClusterState::unblock(JobIndex job_index, double eligible_since) {
   update_dependency_graph([&](DependencyGraph::JobChanges& changes) {
-    dependency_graph_.mark_eligible(job_index, changes);
+    dependency_graph_.mark_eligible(job_index);
     changes.eligible.push_back({job_index, eligible_since});
   });
 }
@@ -77,10 +77,6 @@
     job.spec.depends_on.shrink_to_fit();
     if (!job.ended()) activate(job_index);
   }
-  for (const JobIndex job_index : changes.urgency_changed) {
-    Job& job = jobs_[job_index.value];
-    if (!job.ended()) job.urgency = more_urgent(own_urgency(job), dependency_graph_.required_urgency(job_index));
-  }
   for (const JobIndex job_index : changes.cancelled) {
     Job& job = jobs_[job_index.value];
     // Its dependencies were not done, so no task of it ever ran and there is nothing to stop.
@@ -89,6 +85,13 @@
   }
 }
 
+void ClusterState::update_inherited_urgency() {
+  for (const auto& [job_index, required] : dependency_graph_.update_required_urgency()) {
+    Job& job = jobs_[job_index.value];
+    if (!job.ended()) job.urgency = more_urgent(own_urgency(job), required);
+  }
+}
+
 bool ClusterState::is_replay_incomplete(JobIndex job_index) const {
   if (dependency_graph_.has_unresolved_names(job_index)) return true;
   const auto& dependencies = dependency_graph_.dependencies(job_index);
--- a/src/cluster_state/record_application.cpp
+++ b/src/cluster_state/record_application.cpp
@@ -7,6 +7,11 @@
 namespace thistlefront {
 
 void ClusterState::apply(const Record& record) {
+  replay(record);
+  update_inherited_urgency();
+}
+
+void ClusterState::replay(const Record& record) {
   std::visit([this](const auto& typed_record) { apply_record(typed_record); }, record);
 }
 
--- a/src/controller/metrics_reporter.cpp
+++ b/src/controller/metrics_reporter.cpp
@@ -52,6 +52,7 @@
     add_line(out, "jobs_waiting_for_others", dependencies.blocked);
     add_line(out, "jobs_made_ready_total", dependencies.eligible);
     add_line(out, "jobs_cancelled_through_another_total", dependencies.cancelled);
+    add_line(out, "dependency_steps_total", dependencies.steps);
   }
   add_resources(out, connections);
   if (has_cluster_state) {
--- a/src/ledger/ledger_reader.cpp
+++ b/src/ledger/ledger_reader.cpp
@@ -43,6 +43,7 @@
     }
   }
   parsed_.clear();
+  cluster_state_.finish_replay();
   return true;
 }
 
@@ -68,7 +69,7 @@
 void LedgerReader::apply_records(const ParsedEntry& parsed) {
   auto& compactor = contents_.compactor;
   for (const auto& record : parsed.entry.records) {
-    cluster_state_.apply(record);
+    cluster_state_.replay(record);
     if (const auto singleton_key = LedgerCompactor::singleton_key_of(record, cluster_state_))
       compactor.record_first_entry(parsed.number, *singleton_key);
   }
--- a/tests/dependency_graph_test.cpp
+++ b/tests/dependency_graph_test.cpp
@@ -16,15 +16,6 @@
 namespace thistlefront {
 namespace {
 
-JobSpec job_with_dependencies(const std::string& uid, std::vector<std::string> dependencies, std::uint32_t tasks = 2) {
-  JobSpec spec = submission(uid, tasks, 1);
-  spec.priority = Priority::idle;
-  spec.depends_on = std::move(dependencies);
-  return spec;
-}
-JobAcceptedRecord accept_record(JobSpec spec, double accepted_at) {
-  return {std::move(spec), 0.5, accepted_at};
-}
 TasksStartedRecord start_record(const std::string& uid, std::uint64_t attempt, TaskRanges tasks, const std::string& node = "m-1") {
   return {uid, attempt, 1, {{node, 1, std::move(tasks)}}};
 }
--- a/tests/job_builders.hpp
+++ b/tests/job_builders.hpp
@@ -19,6 +19,17 @@
   return spec;
 }
 
+inline JobSpec job_with_dependencies(const std::string& uid, std::vector<std::string> dependencies, std::uint32_t tasks = 2) {
+  JobSpec spec = submission(uid, tasks, 1);
+  spec.priority = Priority::idle;
+  spec.depends_on = std::move(dependencies);
+  return spec;
+}
+
+inline JobAcceptedRecord accept_record(JobSpec spec, double accepted_at) {
+  return {std::move(spec), 0.5, accepted_at};
+}
+
 // A cluster state with one team, "red", that has this limit of cores.
 inline ClusterState cluster_state_with_core_limit(double core_limit) {
   return ClusterState({Team{"red", {}, {core_limit, 0, 0}, {}}});
