dependency graph: edges are removed without a search

Change: each end of an edge knows the position of the other. Done dependencies are counted instead of listed.

--- a/src/cluster_state/dependency_graph.cpp
+++ b/src/cluster_state/dependency_graph.cpp
@@ -9,7 +9,10 @@
 namespace thistlefront {
 
 namespace {
-const std::vector<JobIndex> kNoJobs;
+template <class Edges>
+std::uint32_t next_position(const Edges& edges) {
+  return static_cast<std::uint32_t>(edges.size());
+}
 }  // namespace
 
 const DependencyGraph::Vertex* DependencyGraph::find(JobIndex job) const {
@@ -49,8 +52,10 @@
 void DependencyGraph::add_edge(JobIndex job, JobIndex dependency) {
   Vertex& dependency_vertex = vertices_[dependency];
   Vertex& vertex = vertices_.at(job);
-  vertex.dependencies.push_back(dependency);
-  dependency_vertex.dependents.push_back(job);
+  const EdgeEnd to_dependent{job, next_position(vertex.dependencies)};
+  vertex.dependencies.push_back({dependency, next_position(dependency_vertex.dependents)});
+  dependency_vertex.dependents.push_back(to_dependent);
+  ++vertex.open_dependencies;
   ++steps_;
   // While the ledger is read, a job may be read before its dependency.
   if (dependency_vertex.rank >= vertex.rank) ranks_outdated_ = true;
@@ -78,41 +83,42 @@
         Vertex& dependency = vertices_[status.job];
         dependency.ended = true;
         dependency.done_at = status.done_at;
-        dependency.dependents.push_back(job);
-        record_completed_dependency(job, status.job, status.done_at);
+        it->second.dependencies.push_back({status.job});
+        record_completed_dependency(it->second, dependency);
       }
       update_eligibility(job, changes);
       break;
   }
 }
 
-void DependencyGraph::record_completed_dependency(JobIndex job, JobIndex dependency, double done_at) {
-  Vertex& vertex = vertices_.at(job);
-  vertex.completed_dependencies.push_back(dependency);
-  vertex.eligible_since = std::max(vertex.eligible_since, done_at);
+void DependencyGraph::record_completed_dependency(Vertex& dependent, Vertex& dependency) {
+  ++dependency.dependents_after_end;
+  dependent.eligible_since = std::max(dependent.eligible_since, dependency.done_at);
 }
 
 void DependencyGraph::mark_done(JobIndex job, double done_at, JobChanges& changes) {
   const auto it = vertices_.find(job);
   if (it == vertices_.end() || it->second.ended) return;
-  it->second.ended = true;
-  it->second.done_at = done_at;
+  Vertex& vertex = it->second;
+  vertex.ended = true;
+  vertex.done_at = done_at;
   // A job that is done while marked as blocked had been eligible: its start was replayed before all its dependencies were read.
-  if (it->second.blocked) mark_unblocked(it->second);
-  const auto dependents = it->second.dependents;
-  for (const JobIndex dependent : dependents) {
-    auto& dependencies = vertices_.at(dependent).dependencies;
-    steps_ += 1 + dependencies.size();
-    if (std::erase(dependencies, job) == 0) continue;
-    record_completed_dependency(dependent, job, done_at);
-    update_eligibility(dependent, changes);
+  if (vertex.blocked) mark_unblocked(vertex);
+  const auto dependents = std::exchange(vertex.dependents, {});
+  steps_ += dependents.size();
+  for (const EdgeEnd& edge : dependents) {
+    Vertex& dependent = vertices_.at(edge.job);
+    THISTLEFRONT_INVARIANT(dependent.open_dependencies > 0);
+    --dependent.open_dependencies;
+    record_completed_dependency(dependent, vertex);
+    update_eligibility(edge.job, changes);
   }
   detach(job);
 }
 
 void DependencyGraph::update_eligibility(JobIndex job, JobChanges& changes) {
   Vertex& vertex = vertices_.at(job);
-  if (!vertex.blocked || vertex.ended || vertex.unresolved > 0 || !vertex.dependencies.empty()) return;
+  if (!vertex.blocked || vertex.ended || vertex.unresolved > 0 || vertex.open_dependencies > 0) return;
   mark_unblocked(vertex);
   ++eligible_;
   changes.eligible.push_back({job, vertex.eligible_since});
@@ -136,27 +142,24 @@
 }
 
 void DependencyGraph::cancel_dependents(JobIndex job, JobChanges& changes) {
-  // Iterative, because a chain of dependencies may contain all jobs.
-  std::vector<JobIndex> remaining{job};
-  while (!remaining.empty()) {
-    const JobIndex cancelled = remaining.back();
-    remaining.pop_back();
-    Vertex& vertex = vertices_.at(cancelled);
-    vertex.ended = true;
+  // Iterative, because a chain of dependencies may contain all jobs. Jobs are added to the list while it is read.
+  std::vector<JobIndex> cancelled{job};
+  vertices_.at(job).ended = true;
+  for (std::size_t next = 0; next < cancelled.size(); ++next) {
+    Vertex& vertex = vertices_.at(cancelled[next]);
     if (vertex.blocked) mark_unblocked(vertex);
     const auto dependents = std::exchange(vertex.dependents, {});
-    for (const JobIndex dependent_job : dependents) {
-      Vertex& dependent = vertices_.at(dependent_job);
-      steps_ += 1 + dependent.dependencies.size();
-      std::erase(dependent.dependencies, cancelled);
+    steps_ += 1 + dependents.size();
+    for (const EdgeEnd& edge : dependents) {
+      Vertex& dependent = vertices_.at(edge.job);
       if (dependent.ended) continue;
       dependent.ended = true;  // so that it is cancelled only once if several paths lead to it
-      changes.cancelled.push_back(dependent_job);
+      changes.cancelled.push_back(edge.job);
       ++cancelled_;
-      remaining.push_back(dependent_job);
+      cancelled.push_back(edge.job);
     }
-    detach(cancelled);
   }
+  for (const JobIndex cancelled_job : cancelled) detach(cancelled_job);
 }
 
 void DependencyGraph::mark_eligible(JobIndex job) {
@@ -164,42 +167,58 @@
   if (it == vertices_.end() || !it->second.blocked) return;
   Vertex& vertex = it->second;
   vertex.unresolved = 0;
-  const auto dependencies = std::exchange(vertex.dependencies, {});
-  for (const JobIndex dependency : dependencies) std::erase(vertices_.at(dependency).dependents, job);
-  recompute_required_later(dependencies);
+  vertex.open_dependencies = 0;
+  for (const EdgeEnd& edge : vertex.dependencies)
+    if (!vertices_.at(edge.job).ended) remove_dependent(edge.job, edge.position);
+  // The vertices of open dependencies without other dependents have been erased.
+  std::erase_if(vertex.dependencies, [&](const EdgeEnd& edge) {
+    const Vertex* dependency = find(edge.job);
+    return !dependency || !dependency->ended;
+  });
   mark_unblocked(vertex);
   ++eligible_;
-  for (const JobIndex dependency : dependencies) erase_if_unused(dependency);
   erase_if_unused(job);
 }
 
 void DependencyGraph::detach(JobIndex job) {
   Vertex& vertex = vertices_.at(job);
+  vertex.open_dependencies = 0;
   const auto dependencies = std::exchange(vertex.dependencies, {});
-  auto all_dependencies = std::exchange(vertex.completed_dependencies, {});
-  all_dependencies.insert(all_dependencies.begin(), dependencies.begin(), dependencies.end());
-  for (const JobIndex dependency : all_dependencies) {
-    const auto it = vertices_.find(dependency);
-    if (it == vertices_.end()) continue;
-    steps_ += 1 + it->second.dependents.size();
-    std::erase(it->second.dependents, job);
+  steps_ += dependencies.size();
+  for (const EdgeEnd& edge : dependencies) {
+    const auto it = vertices_.find(edge.job);
+    if (it == vertices_.end()) continue;  // cancelled together with this job
+    Vertex& dependency = it->second;
+    if (!dependency.ended) {
+      remove_dependent(edge.job, edge.position);
+    } else if (dependency.dependents_after_end > 0) {
+      --dependency.dependents_after_end;
+      erase_if_unused(edge.job);
+    }
   }
-  recompute_required_later(dependencies);
-  for (const JobIndex dependency : all_dependencies) erase_if_unused(dependency);
   erase_if_unused(job);
 }
 
-void DependencyGraph::recompute_required_later(const std::vector<JobIndex>& jobs) {
-  for (const JobIndex job : jobs)
-    if (const auto it = vertices_.find(job); it != vertices_.end()) recompute_required_later(job, it->second);
+void DependencyGraph::remove_dependent(JobIndex job, std::uint32_t position) {
+  Vertex& vertex = vertices_.at(job);
+  auto& dependents = vertex.dependents;
+  ++steps_;
+  // The last dependent moves to the free position.
+  if (position + 1 < dependents.size()) {
+    dependents[position] = dependents.back();
+    vertices_.at(dependents[position].job).dependencies[dependents[position].position].position = position;
+  }
+  dependents.pop_back();
+  recompute_required_later(job, vertex);
+  erase_if_unused(job);
 }
 
 void DependencyGraph::erase_if_unused(JobIndex job) {
   const auto it = vertices_.find(job);
   if (it == vertices_.end()) return;
   const Vertex& vertex = it->second;
-  const bool has_dependencies = !vertex.dependencies.empty() || !vertex.completed_dependencies.empty();
-  const bool needed = vertex.blocked || vertex.queued || !vertex.dependents.empty() || (!vertex.ended && has_dependencies);
+  const bool has_dependents = !vertex.dependents.empty() || vertex.dependents_after_end > 0;
+  const bool needed = vertex.blocked || vertex.queued || has_dependents || (!vertex.ended && !vertex.dependencies.empty());
   if (!needed) vertices_.erase(it);
 }
 
@@ -208,9 +227,12 @@
   return vertex && vertex->blocked;
 }
 
-const std::vector<JobIndex>& DependencyGraph::dependencies(JobIndex job) const {
-  const Vertex* vertex = find(job);
-  return vertex ? vertex->dependencies : kNoJobs;
+std::vector<JobIndex> DependencyGraph::open_dependencies(JobIndex job) const {
+  std::vector<JobIndex> open;
+  if (const Vertex* vertex = find(job))
+    for (const EdgeEnd& edge : vertex->dependencies)
+      if (!vertices_.at(edge.job).ended) open.push_back(edge.job);
+  return open;
 }
 
 bool DependencyGraph::has_unresolved_names(JobIndex job) const {
@@ -220,7 +242,7 @@
 
 bool DependencyGraph::has_dependents(JobIndex job) const {
   const Vertex* vertex = find(job);
-  return vertex && !vertex->dependents.empty();
+  return vertex && (!vertex->dependents.empty() || vertex->dependents_after_end > 0);
 }
 
 double DependencyGraph::done_at(JobIndex job) const {
--- a/src/cluster_state/dependency_graph.hpp
+++ b/src/cluster_state/dependency_graph.hpp
@@ -69,7 +69,7 @@
   // Whether some dependency of the job is not done or has not been read.
   [[nodiscard]] bool is_blocked(JobIndex job) const;
   // Dependencies of the job that have been read and are not done.
-  [[nodiscard]] const std::vector<JobIndex>& dependencies(JobIndex job) const;
+  [[nodiscard]] std::vector<JobIndex> open_dependencies(JobIndex job) const;
   [[nodiscard]] bool has_unresolved_names(JobIndex job) const;
   // Whether the job has dependents that have not ended. If it is done, its completion time must be kept for them.
   [[nodiscard]] bool has_dependents(JobIndex job) const;
@@ -86,12 +86,19 @@
   [[nodiscard]] Counts counts() const;
 
  private:
+  // One end of an edge between a job and one of its dependencies. Each end knows the position of the other, so that an edge is removed
+  // without a search.
+  struct EdgeEnd {
+    JobIndex job;                // at the other end
+    std::uint32_t position = 0;  // of the other end, in the dependents or dependencies of `job`
+  };
   // Kept for jobs that have not ended and have dependencies or dependents, and for ended dependencies of such jobs.
   struct Vertex {
-    std::vector<JobIndex> dependencies;            // not done
-    std::vector<JobIndex> completed_dependencies;  // done while this job was blocked
-    std::vector<JobIndex> dependents;              // not ended
-    std::size_t unresolved = 0;                    // number of dependencies that have not been read
+    std::vector<EdgeEnd> dependencies;     // that have been read, except those that were done when this job was added
+    std::size_t open_dependencies = 0;     // number of `dependencies` that are not done
+    std::size_t unresolved = 0;            // number of dependencies that have not been read
+    std::vector<EdgeEnd> dependents;       // not ended; empty once this job has ended
+    std::size_t dependents_after_end = 0;  // number of dependents that have not ended, once this job is done
     bool blocked = false;
     bool ended = false;
     double eligible_since = 0;  // lower bound while the job is blocked
@@ -109,7 +116,8 @@
   void add_edge(JobIndex job, JobIndex dependency);
   // One of the job's unresolved dependencies was read and has this status.
   void resolve_dependency(JobIndex job, const DependencyStatus& status, JobChanges& changes);
-  void record_completed_dependency(JobIndex job, JobIndex dependency, double done_at);
+  // `dependency`, which is one of the dependencies of `dependent`, is done.
+  static void record_completed_dependency(Vertex& dependent, Vertex& dependency);
   // Makes the job eligible if all its dependencies are done.
   void update_eligibility(JobIndex job, JobChanges& changes);
   void mark_unblocked(Vertex& vertex);
@@ -118,8 +126,8 @@
   void cancel_dependents(JobIndex job, JobChanges& changes);
   // The job has ended: removes it from the dependents of its dependencies.
   void detach(JobIndex job);
-  // Dependents of these jobs left.
-  void recompute_required_later(const std::vector<JobIndex>& jobs);
+  // Removes a dependent of `job`, which has not ended.
+  void remove_dependent(JobIndex job, std::uint32_t position);
   void erase_if_unused(JobIndex job);
 
   // inherited_urgency.cpp
--- a/src/cluster_state/inherited_urgency.cpp
+++ b/src/cluster_state/inherited_urgency.cpp
@@ -32,7 +32,7 @@
 
 Urgency DependencyGraph::required_by_dependents(const Vertex& vertex) {
   Urgency required;
-  for (const JobIndex dependent : vertex.dependents) required = more_urgent(required, urgency_required_by(vertices_.at(dependent)));
+  for (const EdgeEnd& edge : vertex.dependents) required = more_urgent(required, urgency_required_by(vertices_.at(edge.job)));
   steps_ += vertex.dependents.size();
   return required;
 }
@@ -83,12 +83,12 @@
   if (vertex.required == before) return;
   changes.push_back({job, vertex.required});
   const bool is_raised = more_urgent(vertex.required, before) == vertex.required;
-  for (const JobIndex dependency_job : vertex.dependencies) {
-    Vertex& dependency = vertices_.at(dependency_job);
+  for (const EdgeEnd& edge : vertex.dependencies) {
+    Vertex& dependency = vertices_.at(edge.job);
     if (is_raised) {
-      raise_required(dependency_job, dependency, urgency_required_by(vertex));
+      raise_required(edge.job, dependency, urgency_required_by(vertex));
     } else {
-      recompute_required_later(dependency_job, dependency);
+      recompute_required_later(edge.job, dependency);
     }
   }
   steps_ += vertex.dependencies.size();
@@ -100,10 +100,10 @@
   std::vector<JobIndex> ranked;
   for (const auto& [job, vertex] : vertices_) {
     if (vertex.ended) continue;
-    if (vertex.dependencies.empty()) {
+    if (vertex.open_dependencies == 0) {
       ranked.push_back(job);
     } else {
-      unranked_dependencies[job] = vertex.dependencies.size();
+      unranked_dependencies[job] = vertex.open_dependencies;
     }
   }
   last_rank_ = 0;
@@ -111,8 +111,8 @@
     Vertex& vertex = vertices_.at(ranked[next]);
     vertex.rank = ++last_rank_;
     steps_ += 1 + vertex.dependents.size();
-    for (const JobIndex dependent : vertex.dependents)
-      if (--unranked_dependencies.at(dependent) == 0) ranked.push_back(dependent);
+    for (const EdgeEnd& edge : vertex.dependents)
+      if (--unranked_dependencies.at(edge.job) == 0) ranked.push_back(edge.job);
   }
 }
 
--- a/src/cluster_state/job_dependencies.cpp
+++ b/src/cluster_state/job_dependencies.cpp
@@ -94,7 +94,7 @@
 
 bool ClusterState::is_replay_incomplete(JobIndex job_index) const {
   if (dependency_graph_.has_unresolved_names(job_index)) return true;
-  const auto& dependencies = dependency_graph_.dependencies(job_index);
+  const auto dependencies = dependency_graph_.open_dependencies(job_index);
   return std::any_of(dependencies.begin(), dependencies.end(),
                      [&](JobIndex dependency) { return jobs_[dependency.value].partially_replayed; });
 }
--- a/tests/inherited_urgency_test.cpp
+++ b/tests/inherited_urgency_test.cpp
@@ -61,6 +61,41 @@
   return pipeline;
 }
 
+// Each job needs all jobs of the stage before, with random estimates.
+Pipeline complete_stages(std::size_t stages, std::size_t width) {
+  std::mt19937 random(1);
+  Pipeline pipeline;
+  std::vector<std::string> before;
+  for (std::size_t stage = 0; stage < stages; ++stage) {
+    std::vector<std::string> side_by_side;
+    for (std::size_t i = 0; i < width; ++i)
+      side_by_side.push_back(pipeline.add(before, std::uniform_real_distribution<double>(8, 30)(random)));
+    before = side_by_side;
+  }
+  pipeline.add_urgent(before);
+  return pipeline;
+}
+
+Pipeline chain(std::size_t length) {
+  Pipeline pipeline;
+  std::vector<std::string> before;
+  for (std::size_t i = 0; i < length; ++i) before = {pipeline.add(before, 10)};
+  pipeline.add_urgent(before);
+  return pipeline;
+}
+
+// Two jobs that all others but the last need, each with an urgency of its own.
+Pipeline shared_dependencies(std::size_t dependents) {
+  Pipeline pipeline;
+  const std::vector<std::string> shared{pipeline.add({}, 10), pipeline.add({}, 20)};
+  for (std::size_t i = 0; i < dependents; ++i) {
+    pipeline.add(shared, 10 + static_cast<double>(i));
+    pipeline.jobs.back().priority = Priority::standard;
+  }
+  pipeline.add_urgent({pipeline.jobs.back().uid});
+  return pipeline;
+}
+
 std::uint64_t steps(const ClusterState& cluster_state) {
   return cluster_state.dependency_graph().counts().steps;
 }
@@ -71,6 +106,38 @@
   return steps(cluster_state) - before;
 }
 
+// The steps of related events.
+struct Cost {
+  std::uint64_t acceptances = 0;        // of all jobs but the last
+  std::uint64_t urgent_acceptance = 0;  // of the last job
+  std::uint64_t cancellation = 0;       // of the first job, with all its dependents
+  std::uint64_t completions = 0;        // of all jobs, one after the other
+  std::uint64_t replay = 0;             // of a ledger with the acceptances in any order
+};
+
+Cost cost_of(const Pipeline& pipeline, unsigned replay_seed) {
+  Cost cost;
+  ClusterState cluster_state = empty_cluster_state();
+  for (const auto& job : pipeline.jobs) {
+    cost.acceptances += cost.urgent_acceptance;
+    cost.urgent_acceptance = steps_of(cluster_state, accept_record(job, kAcceptedAt));
+  }
+  ClusterState completing = empty_cluster_state();
+  for (const auto& job : pipeline.jobs) completing.apply(accept_record(job, kAcceptedAt));
+  for (const auto& job : pipeline.jobs) cost.completions += steps_of(completing, TasksCompletedRecord{job.uid, {{0, 1}}, 2 * kAcceptedAt});
+  EXPECT_EQ(completing.live().size(), 0u) << "all jobs must be done";
+  for (const auto& job : pipeline.jobs) EXPECT_FALSE(completing.dependency_graph().has_dependents(completing.find(job.uid))) << job.uid;
+  cost.cancellation = steps_of(cluster_state, JobCancelledRecord{pipeline.jobs.front().uid});
+  // Compaction moves jobs behind their dependents.
+  std::vector<JobSpec> moved = pipeline.jobs;
+  std::shuffle(moved.begin(), moved.end(), std::mt19937(replay_seed));
+  ClusterState replayed = empty_cluster_state();
+  for (const auto& job : moved) replayed.replay(accept_record(job, kAcceptedAt));
+  replayed.finish_replay();
+  cost.replay = steps(replayed);
+  return cost;
+}
+
 // Guards against controllers that stop replying: the submission of a pipeline's last job, the only one with a deadline, visited each
 // path through the pipeline, 8^11 of them in review/1, under the mutex of the leader and in every takeover.
 TEST(InheritedUrgency, DeadlineOfTheLastJobOfAPipelineVisitsEachJobOnce) {
@@ -102,6 +169,32 @@
   }
 }
 
+// Related events and shapes: no cancellation, no replay in any order and no series of acceptances or completions takes more steps than a
+// few visits of each job and edge.
+TEST(InheritedUrgency, StepsOfEachEventGrowWithTheSizeOfThePipelineOnly) {
+  constexpr unsigned kSeed = 7;
+  constexpr std::size_t kVisits = 4;
+  const std::vector<std::pair<std::string, std::vector<Pipeline>>> shapes{
+      {"stages with joint jobs", {stages_with_joint_jobs(11), stages_with_joint_jobs(22)}},
+      {"complete stages", {complete_stages(20, 25), complete_stages(20, 50), complete_stages(20, 100)}},
+      {"chain", {chain(5000), chain(10000), chain(20000)}},
+      {"two shared dependencies", {shared_dependencies(5000), shared_dependencies(10000), shared_dependencies(20000)}},
+  };
+  for (const auto& [name, pipelines] : shapes) {
+    for (const auto& pipeline : pipelines) {
+      const Cost cost = cost_of(pipeline, kSeed);
+      std::cout << name << ": " << pipeline.jobs.size() << " jobs, " << pipeline.edges() << " edges; steps: acceptances "
+                << cost.acceptances << ", urgent acceptance " << cost.urgent_acceptance << ", cancellation " << cost.cancellation
+                << ", completions " << cost.completions << ", replay " << cost.replay << "\n";
+      EXPECT_LE(cost.acceptances, kVisits * pipeline.size()) << name;
+      EXPECT_LE(cost.completions, kVisits * pipeline.size()) << name;
+      EXPECT_LE(cost.urgent_acceptance, kVisits * pipeline.size()) << name;
+      EXPECT_LE(cost.cancellation, kVisits * pipeline.size()) << name;
+      EXPECT_LE(cost.replay, kVisits * pipeline.size()) << name;
+    }
+  }
+}
+
 // Computes the urgency of all jobs from the submissions alone, in the plainest way.
 class PlainUrgency {
  public:
