ledger recovery, records: a typed result, one place for new placements, unused fields out

LedgerRecovery::unchanged_preread told by an out parameter what a variant says now. Term::version_mod_revision was written and never read. The parameters of a pass are made once.

--- a/src/cluster_state/cluster_state.hpp
+++ b/src/cluster_state/cluster_state.hpp
@@ -158,6 +158,8 @@
   [[nodiscard]] bool is_replay_incomplete(JobIndex job_index) const;
 
   // task_placement.cpp
+  // A placement on the node of this name, which is added if it is not known.
+  [[nodiscard]] Placement new_placement(const std::string& node, std::uint64_t agent_incarnation, std::uint64_t attempt, double decided_at);
   void place(TaskRef task, Placement placement);
   void place_all(JobIndex job_index, const TaskRanges& tasks, const Placement& placement);
   void unplace(TaskRef task);
--- a/src/cluster_state/record_application.cpp
+++ b/src/cluster_state/record_application.cpp
@@ -30,14 +30,8 @@
   // later in the ledger, as snapshot records. The leader that wrote this start knew that the job was eligible, and ignoring the
   // start would cause its running tasks to be started again.
   if (job.blocked && !is_replay_incomplete(job_index)) return;
-  for (const auto& assignment : record.assignments) {
-    Placement placement;
-    placement.node = find_or_add_node(assignment.node);
-    placement.agent_incarnation = assignment.agent_incarnation;
-    placement.attempt = record.attempt;
-    placement.decided_at = record.decided_at;
-    place_all(job_index, assignment.tasks, placement);
-  }
+  for (const auto& [node, agent_incarnation, tasks] : record.assignments)
+    place_all(job_index, tasks, new_placement(node, agent_incarnation, record.attempt, record.decided_at));
 }
 
 void ClusterState::apply_record(const TasksCompletedRecord& record) {
@@ -104,14 +98,8 @@
     job.eligible_since = record.eligible_since;
   }
   if (!record.done.empty()) mark_done(job_index, record.done, 0);
-  for (const auto& placed_tasks : record.placed) {
-    Placement placement;
-    placement.node = find_or_add_node(placed_tasks.node);
-    placement.agent_incarnation = placed_tasks.agent_incarnation;
-    placement.attempt = placed_tasks.attempt;
-    placement.decided_at = placed_tasks.decided_at;
-    place_all(job_index, placed_tasks.tasks, placement);
-  }
+  for (const auto& [node, agent_incarnation, attempt, decided_at, tasks] : record.placed)
+    place_all(job_index, tasks, new_placement(node, agent_incarnation, attempt, decided_at));
   if (record.status == JobStatus::cancelled) apply_record(JobCancelledRecord{record.accepted.job.uid});
   if (job.status == JobStatus::cancelled) {
     for (auto& [task, placement] : job.placed) placement.stopping = true;
--- a/src/cluster_state/task_placement.cpp
+++ b/src/cluster_state/task_placement.cpp
@@ -25,6 +25,15 @@
 }
 }  // namespace
 
+Placement ClusterState::new_placement(const std::string& node, std::uint64_t agent_incarnation, std::uint64_t attempt, double decided_at) {
+  Placement placement;
+  placement.node = find_or_add_node(node);
+  placement.agent_incarnation = agent_incarnation;
+  placement.attempt = attempt;
+  placement.decided_at = decided_at;
+  return placement;
+}
+
 void ClusterState::place(TaskRef task, Placement placement) {
   Job& job = jobs_[task.job.value];
   if (task.task >= job.tasks.size() || job.tasks[task.task] != TaskState::pending) return;
--- a/src/controller/leader_election.cpp
+++ b/src/controller/leader_election.cpp
@@ -175,7 +175,6 @@
   term->takeover_token = term->fencing_token = lease.fencing_token;
   term->session_lease = lease.session_lease;
   term->active_version = snapshot.active;
-  term->version_mod_revision = snapshot.active_mod_revision;
   term->taken_over_at = steady_now();
   term->session_lease_valid_until = session_lease_valid_until(lease.requested_at);
   term->quorum = QuorumTracker(shared_.peers.size(), term->taken_over_at, quorum_grace_s(settings.cancel_s, settings.lease_s));
--- a/src/controller/ledger_recovery.cpp
+++ b/src/controller/ledger_recovery.cpp
@@ -51,50 +51,46 @@
   return out;
 }
 
-std::optional<LedgerSnapshot> LedgerRecovery::unchanged_preread(StoreClient& store, std::stop_token stop, std::uint64_t term,
-                                                                bool& aborted) {
+bool LedgerRecovery::is_term(std::uint64_t term) const {
+  Lock lock(shared_.mutex);
+  return shared_.is_term(term);
+}
+
+PrereadResult LedgerRecovery::unchanged_preread(StoreClient& store, std::stop_token stop, std::uint64_t term) {
   std::optional<LedgerSnapshot> ledger;
   {
     Lock lock(shared_.mutex);
-    aborted = !shared_.is_term(term);
-    if (aborted) return std::nullopt;
+    if (!shared_.is_term(term)) return ReadAborted{};
     ledger = std::exchange(shared_.term->preread_ledger, std::nullopt);
   }
-  if (!ledger) return std::nullopt;
+  if (!ledger) return NoCurrentLedger{};
   // Another controller may have been the leader in between.
   bool changed = true;
-  while (store.has_changed(kLedgerPrefix, ledger->revision, changed) != StoreStatus::ok) {
-    const bool is_current_term = [&] {
-      Lock lock(shared_.mutex);
-      return shared_.is_term(term);
-    }();
-    aborted = !is_current_term || !pause_for(stop, kRetryPauseS);
-    if (aborted) return std::nullopt;
-  }
-  return changed ? std::nullopt : std::move(ledger);
+  while (store.has_changed(kLedgerPrefix, ledger->revision, changed) != StoreStatus::ok)
+    if (!is_term(term) || !pause_for(stop, kRetryPauseS)) return ReadAborted{};
+  if (changed) return NoCurrentLedger{};
+  return std::move(*ledger);
 }
 
 bool LedgerRecovery::recover(StoreClient& store, std::stop_token stop, std::uint64_t term) {
   const double started_at = steady_now();
-  bool aborted = false;
-  auto ledger = unchanged_preread(store, stop, term, aborted);
-  if (aborted) return false;
-  if (!ledger) {
-    auto result = read(store, stop, [&] {
-      Lock lock(shared_.mutex);
-      return shared_.is_term(term);
-    });
-    if (const auto* unreadable = std::get_if<UnreadableLedger>(&result)) {
-      handle_unreadable(unreadable->reason);
-      pause_for(stop, kRereadPauseS);
-      return false;
-    }
-    if (!std::holds_alternative<LedgerSnapshot>(result)) return false;
-    ledger = std::get<LedgerSnapshot>(std::move(result));
+  auto preread = unchanged_preread(store, stop, term);
+  if (auto* ledger = std::get_if<LedgerSnapshot>(&preread)) return lead_with(std::move(*ledger), term, started_at);
+  if (std::holds_alternative<ReadAborted>(preread)) return false;
+  auto result = read(store, stop, [&] { return is_term(term); });
+  if (const auto* unreadable = std::get_if<UnreadableLedger>(&result)) {
+    handle_unreadable(unreadable->reason);
+    pause_for(stop, kRereadPauseS);
+    return false;
   }
+  auto* ledger = std::get_if<LedgerSnapshot>(&result);
+  return ledger && lead_with(std::move(*ledger), term, started_at);
+}
+
+bool LedgerRecovery::lead_with(LedgerSnapshot ledger, std::uint64_t term, double started_at) {
   Lock lock(shared_.mutex);
   if (!shared_.is_term(term)) return false;
-  begin_leading(std::move(*ledger), started_at);
+  begin_leading(std::move(ledger), started_at);
   return true;
 }
 
--- a/src/controller/ledger_recovery.hpp
+++ b/src/controller/ledger_recovery.hpp
@@ -3,7 +3,6 @@
 #pragma once
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <stop_token>
 #include <string>
 #include <variant>
@@ -19,10 +18,14 @@
 struct UnreadableLedger {
   std::string reason;
 };
-// The key-value store did not reply, or the read was cancelled.
+// The key-value store did not reply, the read was cancelled, or the term ended.
 struct ReadAborted {};
 
+// No ledger was read before the takeover, or it has changed since.
+struct NoCurrentLedger {};
+
 using LedgerReadResult = std::variant<LedgerSnapshot, UnreadableLedger, ReadAborted>;
+using PrereadResult = std::variant<LedgerSnapshot, NoCurrentLedger, ReadAborted>;
 
 class LedgerRecovery {
  public:
@@ -35,9 +38,12 @@
   bool recover(StoreClient& store, std::stop_token stop, std::uint64_t term);
 
  private:
-  // Returns the ledger that was read before the takeover, if it has not changed since. Sets `aborted` if the term ended or
-  // a stop was requested before the store replied.
-  std::optional<LedgerSnapshot> unchanged_preread(StoreClient& store, std::stop_token stop, std::uint64_t term, bool& aborted);
+  // Returns the ledger that was read before the takeover, if it has not changed since.
+  PrereadResult unchanged_preread(StoreClient& store, std::stop_token stop, std::uint64_t term);
+  // Makes this controller the deciding leader. Returns false if the term has ended.
+  bool lead_with(LedgerSnapshot ledger, std::uint64_t term, double started_at);
+  // Takes `mutex` of the shared state.
+  [[nodiscard]] bool is_term(std::uint64_t term) const;
   void begin_leading(LedgerSnapshot ledger, double started_at);
   void handle_unreadable(const std::string& reason);
 
--- a/src/controller/rollout_manager.cpp
+++ b/src/controller/rollout_manager.cpp
@@ -186,7 +186,7 @@
     shared_.term->fencing_token = revision;
     shared_.observe_leader(revision, shared_.config.settings.label);
   }
-  if (step.sets_version()) adopt_version(step.active_after, revision);
+  if (step.sets_version()) adopt_version(step.active_after);
   return true;
 }
 
@@ -201,11 +201,11 @@
     term.fencing_token = snapshot.leader_mod_revision;
     shared_.observe_leader(term.fencing_token, shared_.config.settings.label);
   }
-  adopt_version(snapshot.active, snapshot.active_mod_revision);
+  adopt_version(snapshot.active);
   return true;
 }
 
-void RolloutManager::adopt_version(const ActiveVersion& active, std::uint64_t mod_revision) {
+void RolloutManager::adopt_version(const ActiveVersion& active) {
   Term& term = *shared_.term;
   if (active != term.active_version) {
     if (active.downgrade_to != 0) {
@@ -215,7 +215,6 @@
     }
   }
   term.active_version = active;
-  term.version_mod_revision = mod_revision;
   term.ledger_writer.set_format_version(active.written_version());
 }
 
--- a/src/controller/rollout_manager.hpp
+++ b/src/controller/rollout_manager.hpp
@@ -40,7 +40,7 @@
   bool apply_committed_step(const rollout::Step& step, std::uint64_t revision);
   // Applies the keys that were read after a step with an unknown outcome. Returns false if this controller stepped down.
   bool apply_snapshot(const Lock& lock, const rollout::LeadershipSnapshot& snapshot);
-  void adopt_version(const ActiveVersion& active, std::uint64_t mod_revision);
+  void adopt_version(const ActiveVersion& active);
 
   SharedState& shared_;
   CommitQueue& commit_queue_;
--- a/src/controller/scheduling_loop.cpp
+++ b/src/controller/scheduling_loop.cpp
@@ -41,7 +41,7 @@
       command_sender_(commands),
       metrics_(metrics),
       plan_input_builder_(make_pass_parameters(shared.config)) {
-  for (const auto& [job_class, targets] : make_pass_parameters(shared.config).start_targets) classes_with_start_targets_.insert(job_class);
+  for (const auto& [job_class, targets] : plan_input_builder_.start_targets()) classes_with_start_targets_.insert(job_class);
 }
 
 void SchedulingLoop::run(std::stop_token stop) {
--- a/src/controller/term.hpp
+++ b/src/controller/term.hpp
@@ -44,7 +44,6 @@
   bool first_start_committed = false;
   double last_commit_at = 0;  // steady seconds
   ActiveVersion active_version;
-  std::uint64_t version_mod_revision = 0;     // of the key that holds the active format version
   std::optional<rollout::Step> rollout_step;  // planned by RolloutManager, sent by LedgerCommitter
   std::uint64_t quotas_ticket = 0;            // of the latest queued team quotas
 
--- a/src/scheduling/plan_input_builder.hpp
+++ b/src/scheduling/plan_input_builder.hpp
@@ -20,6 +20,7 @@
 class PlanInputBuilder {
  public:
   explicit PlanInputBuilder(PassParameters parameters);
+  [[nodiscard]] const StartTargets& start_targets() const { return parameters_.start_targets; }
   // The input has no nodes, jobs or teams if no job waits. Jobs in `within_guarantee` are planned before others of their priority.
   PlanInput build(ClusterState& cluster_state, const PassContext& context, const std::set<JobIndex>& within_guarantee);
 
