--- a/src/cluster_state/dependency_graph.cpp
+++ b/src/cluster_state/dependency_graph.cpp
@@ -72,8 +72,10 @@
 
 void DependencyGraph::resolve_dependency(JobIndex job, const DependencyStatus& status, JobChanges& changes) {
   const auto it = vertices_.find(job);
-  if (it == vertices_.end() || it->second.ended || it->second.unresolved == 0) return;
-  --it->second.unresolved;
+  if (it == vertices_.end()) return;
+  Vertex& vertex = it->second;  // stays valid if vertices are added, unlike the iterator
+  if (vertex.ended || vertex.unresolved == 0) return;
+  --vertex.unresolved;
   switch (status.state) {
     case DependencyStatus::State::cancelled: cancel_with_dependents(job, changes); break;
     case DependencyStatus::State::pending: add_edge(job, status.job); break;
@@ -83,8 +85,8 @@
         Vertex& dependency = vertices_[status.job];
         dependency.ended = true;
         dependency.done_at = status.done_at;
-        it->second.dependencies.push_back({status.job});
-        record_completed_dependency(it->second, dependency);
+        vertex.dependencies.push_back({status.job});
+        record_completed_dependency(vertex, dependency);
       }
       update_eligibility(job, changes);
       break;
--- a/src/cluster_state/dependency_graph.hpp
+++ b/src/cluster_state/dependency_graph.hpp
@@ -4,7 +4,8 @@
 // clock; times are wall-clock seconds.
 //
 // dependency_graph.cpp has eligibility and cancellation, inherited_urgency.cpp the urgency. Each event takes a number of steps that
-// is at most proportional to the jobs that it changes and their edges, however many paths lead through them.
+// is at most proportional to the jobs that it changes and the edges of these and of their dependencies, however many paths lead
+// through them.
 #pragma once
 #include <cstddef>
 #include <cstdint>
