Tasks started late on a lost node are evicted in the next pass, not only at its loss

Cause: placements on a lost node were ended by an event of the node, the confirmed release or the expiry of its lease. A start committed after that event placed its task on a node that no check looked at again, with its share of the team's quota.

Change: evict_from_lost_nodes evicts in each pass whatever is placed on a node that was released or whose lease has expired. Nothing can run there: no command is sent to such a node, and its agent's incarnation is over. safety_test uses it instead of its copy of the loop.

--- a/src/controller/scheduling_loop.cpp
+++ b/src/controller/scheduling_loop.cpp
@@ -63,7 +63,7 @@
   const double processor_before = thread_processor_seconds();
   const PassContext context = make_pass_context();
   const auto term = shared_.term_number;
-  expire_leases(context.steady_now);
+  evict_tasks_of_lost_nodes(context.steady_now);
   fence_unacknowledged_starts(context.steady_now);
   std::set<NodeIndex> nodes_with_commands;
   mark_tasks_to_stop(context, nodes_with_commands);
@@ -92,17 +92,12 @@
   return out;
 }
 
-void SchedulingLoop::expire_leases(double now) {
+void SchedulingLoop::evict_tasks_of_lost_nodes(double now) {
   ClusterState& cluster_state = *shared_.term->cluster_state;
-  const FencingState fencing = fencing_state(shared_, now);
-  for (std::uint32_t i = 0; i < cluster_state.node_count(); ++i) {
-    Node& node = cluster_state.node(NodeIndex{i});
-    if (node.lease_expired || node.terminated) continue;
-    if (!is_lease_expired(node, fencing, shared_.config.settings.lease_s, now)) continue;
-    node.lease_expired = true;
-    if (node.placed.empty()) continue;
-    spdlog::info("node {}: lease expired, {} tasks requeued", node.name, node.placed.size());
-    commit_queue_.enqueue(evict_all_tasks(cluster_state, NodeIndex{i}));
+  for (auto& eviction : evict_from_lost_nodes(cluster_state, fencing_state(shared_, now), shared_.config.settings.lease_s, now)) {
+    const Node& node = cluster_state.node(eviction.node);
+    spdlog::info("node {}: {}, {} tasks requeued", node.name, node.terminated ? "released" : "lease expired", eviction.task_count);
+    commit_queue_.enqueue(std::move(eviction.records));
   }
 }
 
--- a/src/controller/scheduling_loop.hpp
+++ b/src/controller/scheduling_loop.hpp
@@ -35,7 +35,8 @@
   // Makes one plan and commits its starts. Returns the cost of making the plan.
   PassCost run_pass(Lock& lock);
   PassContext make_pass_context() const;
-  void expire_leases(double now);
+  // Requeues the tasks of nodes that run nothing any more.
+  void evict_tasks_of_lost_nodes(double now);
   // Requests a higher fencing token if start commands are unacknowledged; at most one token a second, which fences off all of them.
   void fence_unacknowledged_starts(double now);
   // Marks the tasks that have to stop regardless of the plan, and adds their nodes to `nodes_with_commands`.
--- a/src/worker_control/lease_expiry.cpp
+++ b/src/worker_control/lease_expiry.cpp
@@ -20,6 +20,10 @@
   return latest;
 }
 
+bool is_evictable(const PlacedTask& placed) {
+  return !placed.placement->removal_pending;
+}
+
 }  // namespace
 
 void record_lease_renewal(Node& node, bool stale, double steady_now) {
@@ -42,15 +46,32 @@
   return steady_now > renewed_at + lease_s * (1 + kClockDrift) + kExpiryMarginS;
 }
 
+bool runs_nothing(const Node& node) {
+  return node.terminated || node.lease_expired;
+}
+
 std::vector<Record> evict_all_tasks(ClusterState& cluster_state, NodeIndex node_index) {
   TaskEndRecords end_records;
   for (const auto& placed : cluster_state.node(node_index).placed) {
-    Placement& placement = *placed.placement;
-    if (placement.removal_pending) continue;
-    placement.removal_pending = true;
-    end_records.add_removed(cluster_state, placed, placement.attempt);
+    if (!is_evictable(placed)) continue;
+    placed.placement->removal_pending = true;
+    end_records.add_removed(cluster_state, placed, placed.placement->attempt);
   }
   return end_records.records(cluster_state);
 }
 
+std::vector<Eviction> evict_from_lost_nodes(ClusterState& cluster_state, const FencingState& fencing_state, double lease_s,
+                                            double steady_now) {
+  std::vector<Eviction> evictions;
+  for (std::uint32_t i = 0; i < cluster_state.node_count(); ++i) {
+    const NodeIndex index{i};
+    Node& node = cluster_state.node(index);
+    if (!runs_nothing(node)) node.lease_expired = is_lease_expired(node, fencing_state, lease_s, steady_now);
+    if (!runs_nothing(node)) continue;
+    const auto task_count = static_cast<std::size_t>(std::count_if(node.placed.begin(), node.placed.end(), is_evictable));
+    if (task_count > 0) evictions.push_back({index, task_count, evict_all_tasks(cluster_state, index)});
+  }
+  return evictions;
+}
+
 }  // namespace thistlefront
--- a/src/worker_control/lease_expiry.hpp
+++ b/src/worker_control/lease_expiry.hpp
@@ -1,7 +1,8 @@
 // Determines when the lease of a node's agent has certainly expired, whichever controller replied to its heartbeats, and removes the
-// tasks placed on such a node. Called by the leader when it replies to a heartbeat and in each of its regular checks. Pure. It must
-// never report a lease as expired while the agent may still run its tasks, because they are then started on other nodes.
+// tasks placed on nodes that run nothing any more. Called by the leader when it replies to a heartbeat and in each scheduling pass. Pure.
+// It must never report a lease as expired while the agent may still run its tasks, because they are then started on other nodes.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -29,8 +30,22 @@
 // Whether the lease of the node's agent has certainly expired.
 bool is_lease_expired(const Node& node, const FencingState& fencing_state, double lease_s, double steady_now);
 
-// Marks all tasks placed on the node for removal and returns the records that remove them. Only for a node that is known to run
-// nothing, because its lease has expired or because it was released.
+// Whether nothing placed on the node runs there or can still start there: it was released, or its agent's lease has certainly expired.
+bool runs_nothing(const Node& node);
+
+// Marks all tasks placed on the node for removal and returns the records that remove them. Only for a node that runs nothing.
 std::vector<Record> evict_all_tasks(ClusterState& cluster_state, NodeIndex node_index);
 
+// Tasks evicted from one node.
+struct Eviction {
+  NodeIndex node;
+  std::size_t task_count = 0;
+  std::vector<Record> records;  // remove the tasks
+};
+
+// Marks the nodes whose agents' leases have expired, and evicts the tasks of all nodes that run nothing. Must be called in each pass: a
+// start that is committed late places its tasks on a node that may have been released, or may have lost its lease, in the meantime.
+std::vector<Eviction> evict_from_lost_nodes(ClusterState& cluster_state, const FencingState& fencing_state, double lease_s,
+                                            double steady_now);
+
 }  // namespace thistlefront
--- a/tests/safety_leader.cpp
+++ b/tests/safety_leader.cpp
@@ -140,13 +140,12 @@
                                    {0, follower_lease.latest_possible_renewal(simulation.now_)},
                                    {0, follower_lease.latest_possible_earlier_renewal(simulation.now_)}};
   std::vector<Record> records;
+  for (auto& eviction : evict_from_lost_nodes(cluster_state, fencing_state, kLeaseS, simulation.now_))
+    for (auto& r : eviction.records) records.push_back(std::move(r));
   bool has_indeterminate_start = false;
   for (std::uint32_t i = 0; i < cluster_state.node_count(); ++i) {
-    Node& node = cluster_state.node(NodeIndex{i});
+    const Node& node = cluster_state.node(NodeIndex{i});
     has_indeterminate_start = has_indeterminate_start || (!node.lease_expired && node.commands.indeterminate_token >= fencing_token);
-    if (node.lease_expired || !is_lease_expired(node, fencing_state, kLeaseS, simulation.now_)) continue;
-    node.lease_expired = true;
-    for (auto& r : evict_all_tasks(cluster_state, NodeIndex{i})) records.push_back(std::move(r));
   }
   append_records(std::move(records));
   if (has_indeterminate_start) fencing_token = simulation.fencing_token_ += 1;
