Capacity kept for accelerator jobs is open to work that has waited for 60 s

Cause: services may use only what the largest accelerator job ever accepted leaves free of such a node, and neither the end of those jobs, nor time, nor the service's wait ended that rule. On reserved nodes, arrays and gangs met it until the demand had decayed (138 s and more).

Change: a job left waiting for 60 s is overdue (WaitingTimes) and not limited any more; its tasks go first to nodes whose kept capacity is used already. The rule ends 300 s after the last accelerator job. 60 s leave 30 of the promised 90 for pass, commit and image, and are longer than most boots, so that rented nodes still come first.

--- a/src/cluster_state/cluster_state.hpp
+++ b/src/cluster_state/cluster_state.hpp
@@ -100,6 +100,10 @@
   [[nodiscard]] Resources largest_accelerator_demand(MachineTypeIndex machine_type, bool spot) const {
     return accelerator_demands_.largest(machine_type, spot);
   }
+  // When the latest such job for this machine type was accepted, in wall seconds; 0: none.
+  [[nodiscard]] double last_accelerator_demand_at(MachineTypeIndex machine_type) const {
+    return accelerator_demands_.last_accepted_at(machine_type);
+  }
 
   // Attribution of task failures to jobs or nodes.
   [[nodiscard]] FailureAttribution& failure_attribution() { return failure_attribution_; }
--- a/src/cluster_state/job_lifecycle.cpp
+++ b/src/cluster_state/job_lifecycle.cpp
@@ -36,7 +36,7 @@
 
   latest_accepted_at_ = std::max(latest_accepted_at_, record.accepted_at);
   size_ranking_.record(job.job_class, size_of(spec));
-  accelerator_demands_.record(job.machine_types, spec.demand, spec.allows_spot);
+  accelerator_demands_.record(job.machine_types, spec.demand, spec.allows_spot, record.accepted_at);
   if (spec.depends_on.empty()) {
     activate(job_index);
   } else {
--- a/src/scheduling/accelerator_reservation.cpp
+++ b/src/scheduling/accelerator_reservation.cpp
@@ -15,6 +15,7 @@
 constexpr double kDemandDecaySeconds = 60.0;      // time constant of the recent demand
 constexpr double kBackfillTaskRunSeconds = 60.0;  // typical run time of a task without accelerators
 constexpr double kNegligibleNodes = 0.1;
+constexpr double kDemandMemorySeconds = 300.0;  // after the last accelerator job, none is expected any more
 
 // The first leader of a cluster knows no demand yet. It reserves all nodes with accelerators for the first seconds, so that the
 // first CPU-only jobs do not occupy them before accelerator jobs are submitted: on a restarted cluster, arrays occupied 50 of
@@ -52,6 +53,12 @@
   for (std::size_t i = 0; i < nodes.size() && i < count; ++i) nodes[i]->backfill_rule = PlanNode::BackfillRule::reserved;
 }
 
+// Opens all nodes of the machine type to work without accelerators.
+void lift_limits(PlanInput& input, MachineTypeIndex machine_type) {
+  for (auto& node : input.nodes)
+    if (node.machine_type == machine_type) node.backfill_rule = PlanNode::BackfillRule::unrestricted;
+}
+
 }  // namespace
 
 void AcceleratorReservation::apply(PlanInput& input, const ClusterState& cluster_state, const StartTargets& start_targets,
@@ -64,6 +71,11 @@
   for (const auto& machine_type : cluster_state.machine_types()) {
     if (machine_type.capacity.accelerators <= 0) continue;
     const MachineTypeIndex index = cluster_state.find_machine_type(machine_type.name);
+    const bool has_demand = current.nodes[index] > 0;
+    if (!has_demand && context.wall_now - cluster_state.last_accelerator_demand_at(index) > kDemandMemorySeconds) {
+      lift_limits(input, index);
+      continue;
+    }
     const RecentDemand& demand = update_recent_demand(index, current, context.steady_now);
     if (demand.nodes < kNegligibleNodes) continue;
     // Spare nodes for the next job. A gang starts only when the last of its nodes is free, so with gangs of several nodes, one more as
--- a/src/scheduling/failed_searches.hpp
+++ b/src/scheduling/failed_searches.hpp
@@ -25,10 +25,10 @@
   struct Eligibility {
     std::vector<MachineTypeIndex> machine_types;
     ZoneIndex zone;
-    bool allows_spot;
+    bool allows_spot, overdue;
     auto operator<=>(const Eligibility&) const = default;
   };
-  static Eligibility eligibility_of(const PlanJob& job) { return {job.machine_types, job.zone, job.allows_spot}; }
+  static Eligibility eligibility_of(const PlanJob& job) { return {job.machine_types, job.zone, job.allows_spot, job.overdue}; }
   // Whether the job's eligibility and demand alone decide where it fits.
   static bool is_comparable(const PlanJob& job);
 
--- a/src/scheduling/placement_rules.cpp
+++ b/src/scheduling/placement_rules.cpp
@@ -41,7 +41,7 @@
 }
 
 bool is_backfill(const PlanJob& job, const PlanNode& node) {
-  if (job.demand.accelerators > 0) return false;
+  if (job.demand.accelerators > 0 || job.overdue) return false;
   return node.backfill_rule == PlanNode::BackfillRule::reserved ||
          (node.backfill_rule == PlanNode::BackfillRule::limited_for_services && job.service);
 }
--- a/src/scheduling/plan.hpp
+++ b/src/scheduling/plan.hpp
@@ -43,6 +43,7 @@
   std::uint32_t units = 0;
   bool gang = false;     // all units start together or none
   bool service = false;  // runs until cancelled
+  bool overdue = false;  // left waiting for so long that it may use capacity kept free for other work
   Resources demand;      // of one unit
   double estimated_run_s = 0;
   double image_gb = 0;
--- a/src/scheduling/plan_builder.cpp
+++ b/src/scheduling/plan_builder.cpp
@@ -6,6 +6,7 @@
 
 // Terms of the placement cost, in seconds of delay. The node's fraction of free cores, between 0 and 1, is added to them.
 constexpr double kAcceleratorNodeCost = 1000;
+constexpr double kKeptCapacityCost = 300;
 constexpr double kSpotBonus = 2;
 constexpr double kSameNodeCost = 4;
 constexpr double kSameZoneCost = 2;
@@ -27,6 +28,8 @@
   double cost = image_pull_s(job, position);
   // Keeps nodes with accelerators free for work that needs them while other nodes have capacity.
   if (job.demand.accelerators == 0 && node.capacity.accelerators > 0) cost += kAcceleratorNodeCost;
+  // Overdue tasks go where accelerator tasks have lost their room already, so that as few nodes as possible are lost to them.
+  if (job.overdue && takes_kept_capacity(job, position)) cost += kKeptCapacityCost;
   // Prefers spot nodes for jobs that allow them, which leaves the others to jobs that do not.
   if (job.allows_spot && node.spot) cost -= kSpotBonus;
   // Spreads the replicas of a service, so that the loss of a node or zone takes few of them.
@@ -37,10 +40,16 @@
   return cost + (node.capacity.cores > 0 ? free.cores / node.capacity.cores : 0);
 }
 
+bool PlanBuilder::takes_kept_capacity(const PlanJob& job, NodePosition position) const {
+  if (job.demand.accelerators > 0 || input_.nodes[position].backfill_rule == PlanNode::BackfillRule::unrestricted) return false;
+  const Resources& left = backfill_capacity_[position];
+  return left.cores >= 0 && left.ram_gb >= 0 && !job.demand.fits(left);
+}
+
 void PlanBuilder::add_slot(PlanJob& job, NodePosition position, std::uint32_t units, double start_at) {
   const PlanNode& node = input_.nodes[position];
   profiles_[position].allocate(job.demand * units, start_at, run_duration_s(job, position));
-  if (is_backfill(job, node)) backfill_capacity_[position] -= job.demand * units;
+  if (is_backfill(job, node) || job.overdue) backfill_capacity_[position] -= job.demand * units;
   count_at(job.tasks_by_zone, node.zone.value) += units;
   count_at(job.tasks_by_node, position) += units;
   auto& slots = is_now(start_at) ? plan_.starts : plan_.reservations;
--- a/src/scheduling/plan_builder.hpp
+++ b/src/scheduling/plan_builder.hpp
@@ -92,6 +92,9 @@
   }
 
  private:
+  // Whether a unit of the job would be the first to take capacity of the node that is kept free for accelerator tasks.
+  [[nodiscard]] bool takes_kept_capacity(const PlanJob& job, NodePosition position) const;
+
   static constexpr double kNotComputed = -1;
   static constexpr double kMinRunSeconds = 1.0;
 
--- a/src/scheduling/plan_input_builder.cpp
+++ b/src/scheduling/plan_input_builder.cpp
@@ -122,6 +122,7 @@
   PlanInput input;
   input.now = context.wall_now;
   input.overrun_s = parameters_.overrun_s;
+  waiting_times_.begin_pass(context.takeover_token);
   const auto& live = cluster_state.live();
   if (std::none_of(live.begin(), live.end(), [&](JobIndex j) { return waits_for_slots(cluster_state.job(j)); })) return input;
   input.nodes = make_plan_nodes(cluster_state, context, parameters_.heartbeat_interval_s);
@@ -131,8 +132,12 @@
     input.teams.push_back({cluster_state.quota_accounts().headroom(TeamIndex{team}, kUnlimited)});
   for (JobIndex j : live) {
     if (!may_be_planned(cluster_state, j, context.wall_now)) continue;
-    input.jobs.push_back(make_plan_job(cluster_state, j, input, context.wall_now));
-    input.jobs.back().tier = priority_tier(cluster_state.job(j), within_guarantee.contains(j));
+    PlanJob plan_job = make_plan_job(cluster_state, j, input, context.wall_now);
+    const bool is_guaranteed = within_guarantee.contains(j);
+    const Waited waited = waiting_times_.measure(j, cluster_state.job(j), context.wall_now);
+    plan_job.overdue = (is_guaranteed ? waited.pending_s : waited.without_start_s) >= kOverdueAfterSeconds;
+    plan_job.tier = priority_tier(cluster_state.job(j), is_guaranteed);
+    input.jobs.push_back(std::move(plan_job));
   }
   return input;
 }
--- a/src/scheduling/plan_input_builder.hpp
+++ b/src/scheduling/plan_input_builder.hpp
@@ -10,6 +10,7 @@
 #include "scheduling/pass_context.hpp"
 #include "scheduling/planner.hpp"
 #include "scheduling/starvation_guard.hpp"
+#include "scheduling/waiting_times.hpp"
 
 namespace thistlefront {
 
@@ -31,6 +32,7 @@
 
   PassParameters parameters_;
   AcceleratorReservation accelerator_reservation_;
+  WaitingTimes waiting_times_;
 };
 
 // Raises starving jobs above all others in `input` except production jobs, within the guard's balance; returns them.
