An overdue job within its team's guarantee is not kept off nodes by reservations

What callers would see: a job within its team's guarantee waits for as long as a reservation for other work keeps the only free node: a wide gang of another team waits for its other nodes, there 1,000 s.

Cause: the planner gives slots in the order of tiers and keys, and a job planned later never delays a reservation. Nothing ended the wait but the reserved job's start. Found by the table of rules in docs/bounds.md.

Change: once it is overdue (60 s), a job within its guarantee is planned before all others. Jobs beyond a guarantee wait as before.

Measured: WaitingBounds.AJobWithinItsGuaranteeIsNotKeptOffByReservations failed before (not placed after 90 s), passes now.

--- a/src/scheduling/plan_input_builder.cpp
+++ b/src/scheduling/plan_input_builder.cpp
@@ -59,8 +59,13 @@
   return job.spec.job_type != JobType::gang || job.placed.empty();
 }
 
-// Jobs are ordered by priority; within a priority, jobs within a guarantee come first (docs/design.md, exceptions).
-int priority_tier(const Job& job, bool within_guarantee) {
+// Above the tiers of all priorities.
+constexpr int kOverdueGuaranteeTier = 2 * (static_cast<int>(Priority::production) + 1);
+
+// Jobs are ordered by priority; within a priority, jobs within a guarantee come first (docs/design.md, exceptions). A job within a
+// guarantee need not wait for other teams' work, so once it is overdue, no reservation for other work keeps capacity from it.
+int planning_tier(const Job& job, const PlanJob& plan_job, bool within_guarantee) {
+  if (within_guarantee && plan_job.overdue && !plan_job.suspect) return kOverdueGuaranteeTier;
   return 2 * static_cast<int>(job.urgency.priority) + (within_guarantee ? 1 : 0);
 }
 
@@ -136,7 +141,7 @@
     const bool is_guaranteed = within_guarantee.contains(j);
     const Waited waited = waiting_times_.measure(j, cluster_state.job(j), context.wall_now);
     plan_job.overdue = (is_guaranteed ? waited.pending_s : waited.without_start_s) >= kOverdueAfterSeconds;
-    plan_job.tier = priority_tier(cluster_state.job(j), is_guaranteed);
+    plan_job.tier = planning_tier(cluster_state.job(j), plan_job, is_guaranteed);
     input.jobs.push_back(std::move(plan_job));
   }
   return input;
--- a/src/scheduling/plan_input_builder.hpp
+++ b/src/scheduling/plan_input_builder.hpp
@@ -22,7 +22,8 @@
  public:
   explicit PlanInputBuilder(PassParameters parameters);
   [[nodiscard]] const StartTargets& start_targets() const { return parameters_.start_targets; }
-  // The input has no nodes, jobs or teams if no job waits. Jobs in `within_guarantee` are planned before others of their priority.
+  // The input has no nodes, jobs or teams if no job waits. Jobs in `within_guarantee` are planned before others of their priority, and
+  // before all other jobs once they are overdue.
   PlanInput build(ClusterState& cluster_state, const PassContext& context, const std::set<JobIndex>& within_guarantee);
 
  private:
--- a/tests/waiting_bounds_test.cpp
+++ b/tests/waiting_bounds_test.cpp
@@ -216,6 +216,22 @@
   EXPECT_LE(waited_s, kMaxWaitS);
 }
 
+// A reservation for a wide gang of another team keeps a node free until the tasks on its other nodes end.
+TEST_F(WaitingBounds, AJobWithinItsGuaranteeIsNotKeptOffByReservations) {
+  for (const char* name : {"m-1", "m-2"}) add_node(name, "plain");
+  accept(spec("j-1", JobType::array, 1, {4, 0, 4}, 1000));
+  run_for(1);
+  JobSpec wide = spec("j-2", JobType::gang, 2, {4, 0, 4}, 1000);
+  wide.priority = Priority::high;
+  accept(wide);
+  run_for(1);
+  JobSpec guaranteed = spec("j-3", JobType::array, 2, {1, 0, 1}, 2000);
+  guaranteed.owner = "red";
+  guaranteed.priority = Priority::idle;
+  accept(guaranteed);
+  EXPECT_LE(wait_until_placed({"j-3"}), kMaxWaitS);
+}
+
 // The node's own rules end by themselves: after a refused start, a failure of the job there, and retries of a job that fails.
 TEST_F(WaitingBounds, RulesAboutANodeOrAFailingJobEndByThemselves) {
   add_node("m-1", "plain");
