An overdue replica or gang takes free capacity instead of a later slot near its image

What callers would see: a replica, or a gang, waits for a node that has its image while another one has room, for as long as the tasks on the first exceed their estimates.

Cause: slots are compared by when the work runs, image included. A task that exceeds its estimate is expected to end 5 s after each pass, so the later slot stays a few seconds away, looks sooner than a fetch of 20 s, and is chosen in every pass.

Change: an overdue replica compares slots by their start, and an overdue gang that can start now does.

Measured: WaitingBounds.AJobDoesNotWaitForANodeWithItsImageWhoseTasksOverrun failed before for both (not placed after 90 s), passes now.

--- a/src/scheduling/gang_placement.cpp
+++ b/src/scheduling/gang_placement.cpp
@@ -58,7 +58,9 @@
   bool fitted = false;
   for (double start_at = from; start_at < kInfinity; start_at = pop_up_to(times, start_at)) {
     if (start_at >= best_.runs_at) break;
-    // A later slot may run sooner if its nodes have the image cached. The number of later slots tried is bounded.
+    // A later slot may run sooner if its nodes have the image cached. The number of later slots tried is bounded. An overdue gang that
+    // can start now does, because a later slot recedes for as long as the tasks there exceed their estimates.
+    if (fitted && job_.overdue && builder_.is_now(best_.start_at)) break;
     if (fitted && (++later_attempts > kMaxLaterAttempts || builder_.reservations_full())) break;
     auto parts = distribute_units(sorted_nodes, start_at, duration_s);
     if (parts.empty()) continue;
--- a/src/scheduling/unit_placement.cpp
+++ b/src/scheduling/unit_placement.cpp
@@ -39,8 +39,10 @@
   if (builder_.reservations_full() && !job_.demand.fits(builder_.profile(position).steps().front().free)) return;
   const double start_at = builder_.find_earliest_fit(job_, position, builder_.run_duration_s(job_, position), from);
   if (start_at == kInfinity) return;
-  // A replica serves once its image is fetched, so slots of services are compared by that time.
-  const double serves_at = job_.service ? start_at + builder_.image_pull_s(job_, position) : start_at;
+  // A replica serves once its image is fetched, so slots of services are compared by that time. An overdue one takes what is free now: a
+  // later slot on a node that has the image recedes for as long as the tasks there exceed their estimates.
+  const bool waits_for_image = job_.service && !job_.overdue;
+  const double serves_at = waits_for_image ? start_at + builder_.image_pull_s(job_, position) : start_at;
   candidates_.push({start_at, serves_at, builder_.placement_cost(job_, position), position});
 }
 
--- a/tests/waiting_bounds_test.cpp
+++ b/tests/waiting_bounds_test.cpp
@@ -232,6 +232,29 @@
   EXPECT_LE(wait_until_placed({"j-3"}), kMaxWaitS);
 }
 
+// A replica, or a gang, would run sooner on a node that has the image. It must not wait for that node while another one has room and the
+// tasks on the first exceed their estimates.
+TEST_F(WaitingBounds, AJobDoesNotWaitForANodeWithItsImageWhoseTasksOverrun) {
+  for (const JobType job_type : {JobType::service, JobType::gang}) {
+    const std::string suffix = std::to_string(static_cast<int>(job_type));
+    const std::string cached = "m-1" + suffix, other = "m-2" + suffix, zone = job_type == JobType::service ? "x" : "y";
+    add_node(cached, "plain", zone);
+    JobSpec overrunning = spec("j-1" + suffix, JobType::array, 4, {1, 0, 1}, 1e6);
+    overrunning.estimated_run_s = 1;
+    overrunning.zone = zone;
+    overrunning.image = "image-" + suffix;
+    accept(overrunning);
+    run_for(10);
+    add_node(other, "plain", zone);
+    JobSpec waiting = spec("j-2" + suffix, job_type, 2, {1, 0, 1}, 100);
+    waiting.image = overrunning.image;
+    waiting.image_gb = 4;  // 20 s
+    waiting.zone = zone;
+    accept(waiting);
+    EXPECT_LE(wait_until_placed({waiting.uid}), kMaxWaitS) << waiting.uid;
+  }
+}
+
 // The node's own rules end by themselves: after a refused start, a failure of the job there, and retries of a job that fails.
 TEST_F(WaitingBounds, RulesAboutANodeOrAFailingJobEndByThemselves) {
   add_node("m-1", "plain");
