A node is cordoned for 60 s at most, however often

What callers would see: a job that only one node fits waits for over 90 s after that node's third cordon: 120 s, then doubled up to 960 s.

Cause: the time of a cordon doubles each time without a bound below what a job may wait. Found by the table of rules in docs/bounds.md.

Change: 30 s, then 60 s each time. Failures are kept, so the next one cordons the node again.

Measured: WaitingBounds.ANodeIsNotCordonedForLongerThanAJobMayWait failed before from the third cordon on, passes now.

--- a/src/cluster_state/failure_attribution.cpp
+++ b/src/cluster_state/failure_attribution.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kJobsToCordon = 2;
 constexpr double kFirstCordonS = 30.0;
+constexpr double kMaxCordonS = 60.0;
 constexpr double kAvoidNodeS = 60.0;
 constexpr std::size_t kMaxFailedNodes = 8;  // nodes kept for each job, those with the latest failures
 
@@ -122,7 +123,7 @@
   NodeEvidence& evidence = nodes_[node];
   evidence.failed_jobs.insert(job);
   if (evidence.failed_jobs.size() < kJobsToCordon || evidence.cordoned_until > at) return;
-  evidence.cordoned_until = at + doubled(kFirstCordonS, evidence.times_cordoned);
+  evidence.cordoned_until = at + std::min(kMaxCordonS, doubled(kFirstCordonS, evidence.times_cordoned));
   // The failed jobs are kept: when the node is used again, the next failure on it cordons it again.
   ++evidence.times_cordoned;
   decisions_.push_back({Decision::Type::cordoned, job, node, evidence.times_cordoned, evidence.cordoned_until});
--- a/src/cluster_state/failure_attribution.hpp
+++ b/src/cluster_state/failure_attribution.hpp
@@ -32,7 +32,7 @@
   [[nodiscard]] std::vector<NodeIndex> avoided_nodes(JobIndex job, double wall_s) const;
 
   // Whether the node is cordoned: several jobs that are not suspect failed on it, with no success in between. The node is used
-  // again after a delay, which increases each time it is cordoned.
+  // again after a delay, which is longer from the second time on.
   [[nodiscard]] bool is_cordoned(NodeIndex node, double wall_s) const;
   // Whether the node should be replaced, because it is cordoned at least for the second time.
   [[nodiscard]] bool should_replace(NodeIndex node, double wall_s) const;
--- a/tests/waiting_bounds_test.cpp
+++ b/tests/waiting_bounds_test.cpp
@@ -255,6 +255,28 @@
   }
 }
 
+// A node on which jobs fail again and again is cordoned again and again, but never for longer than this.
+TEST_F(WaitingBounds, ANodeIsNotCordonedForLongerThanAJobMayWait) {
+  add_node("m-1", "plain");
+  const NodeIndex node = cluster_state.find_node("m-1");
+  FailureAttribution& failures = cluster_state.failure_attribution();
+  std::vector<JobIndex> failing;
+  for (const char* uid : {"j-1", "j-2"}) {
+    JobSpec job = spec(uid, JobType::array, 1, {1, 0, 1}, 1);
+    job.machine_types = {"accelerated"};  // there is none: they only fail where the test says so
+    failing.push_back(accept(job));
+  }
+  for (int times_cordoned = 1; times_cordoned < 8; ++times_cordoned) {
+    for (const JobIndex job : failing) failures.record_failure(job, node, now, true);
+    ASSERT_TRUE(failures.is_cordoned(node, now));
+    const std::string uid = "j-1" + std::to_string(times_cordoned);
+    accept(spec(uid, JobType::array, 1, {1, 0, 1}, 1e6));
+    EXPECT_LE(wait_until_placed({uid}), kMaxWaitS) << "cordoned " << times_cordoned << " times";
+    cluster_state.apply(JobCancelledRecord{uid});
+    cluster_state.apply(TasksRemovedRecord{uid, 1, {{0, 1}}, 0});
+  }
+}
+
 // The node's own rules end by themselves: after a refused start, a failure of the job there, and retries of a job that fails.
 TEST_F(WaitingBounds, RulesAboutANodeOrAFailingJobEndByThemselves) {
   add_node("m-1", "plain");
