--- a/tests/waiting_bounds_test.cpp
+++ b/tests/waiting_bounds_test.cpp
@@ -14,6 +14,7 @@
 #include "scheduling/plan_input_builder.hpp"
 #include "scheduling/planner.hpp"
 #include "scheduling/start_records.hpp"
+#include "worker_control/lease_expiry.hpp"
 
 namespace thistlefront {
 namespace {
@@ -75,10 +76,11 @@
   void run_pass() {
     for (std::uint32_t i = 0; i < cluster_state.node_count(); ++i) {
       Node& node = cluster_state.node(NodeIndex{i});
-      node.agent.last_heartbeat_at = now;
+      if (!node.agent.has_reported) continue;
+      node.agent.last_heartbeat_at = node.agent.last_replied_heartbeat_at = now;
       for (const auto& placed : node.placed) placed.placement->reported = true;
     }
-    const PassContext context{now, now, kToken, kBeginS - 100, false};
+    const PassContext context{now, now, kToken, first_term_ever ? kBeginS : kBeginS - 100, first_term_ever};
     const PlanInput input = builder.build(cluster_state, context, jobs_within_guarantee(cluster_state));
     const Plan plan = make_plan(input);
     for (const auto& [job, record] : assign_tasks(cluster_state, plan.starts, now).records) {
@@ -109,6 +111,7 @@
   ClusterState cluster_state;
   PlanInputBuilder builder{{0.1 / 3600, 5, 1, {}}};
   double now = kBeginS;
+  bool first_term_ever = false;
   std::map<std::string, double> run_s_by_uid, last_start_at;
 };
 
@@ -232,6 +235,47 @@
   EXPECT_LE(wait_until_placed({"j-3"}), kMaxWaitS);
 }
 
+// Beyond a guarantee, slots are kept: the largest jobs could not begin otherwise.
+TEST_F(WaitingBounds, OverdueJobsBeyondAGuaranteeDoNotDelayAWideGang) {
+  for (const char* name : {"m-1", "m-2"}) add_node(name, "plain");
+  accept(spec("j-1", JobType::array, 1, {4, 0, 4}, 200));
+  run_for(1);
+  JobSpec wide = spec("j-2", JobType::gang, 2, {4, 0, 4}, 10);
+  wide.priority = Priority::high;
+  accept(wide);
+  for (int i = 0; i < 8; ++i) accept(spec("j-3" + std::to_string(i), JobType::array, 1, {1, 0, 1}, 2000));
+  run_for(220);
+  EXPECT_EQ(last_start_at["j-2"], kBeginS + 200) << "when the first job ends";
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(last_start_at["j-3" + std::to_string(i)], kBeginS + 210) << "when the gang ends";
+}
+
+// In a fleet's first term ever, all nodes with accelerators are reserved for some seconds.
+TEST_F(WaitingBounds, TheFirstTermKeepsAcceleratedNodesFreeForSecondsOnly) {
+  first_term_ever = true;
+  add_node("m-1", "accelerated");
+  accept(spec("j-1", JobType::service, 1, {1, 0, 1}, 0));
+  accept(spec("j-2", JobType::array, 1, {1, 0, 1}, 10));
+  EXPECT_EQ(wait_until_placed({"j-1", "j-2"}), 6);
+}
+
+// After a takeover, the zone of a placed task may be unknown: its node has neither reported nor been listed. A job with zone rules waits
+// until it is known, or until the node's lease has expired.
+TEST_F(WaitingBounds, AJobWithZoneRulesDoesNotWaitForANodeThatNeverReturns) {
+  constexpr double kLeaseS = 22;
+  add_node("m-1", "plain");
+  JobSpec spread = spec("j-1", JobType::service, 2, {1, 0, 1}, 0);
+  spread.spread = true;
+  accept(spread);
+  cluster_state.apply(TasksStartedRecord{"j-1", 1, now, {{"m-9", 1, {{0, 1}}}}});
+  run_for(10);
+  EXPECT_EQ(placed_on("m-1"), 0u) << "the other replica may be in the same zone";
+  const FencingState fencing{kToken, kBeginS, kBeginS, {}, {}};
+  for (; placed_on("m-1") == 0 && now - kBeginS <= kMaxWaitS; run_for(1))
+    for (const auto& eviction : evict_from_lost_nodes(cluster_state, fencing, kLeaseS, now))
+      for (const auto& record : eviction.records) cluster_state.apply(record);
+  EXPECT_LE(now - kBeginS, kLeaseS + 3);
+}
+
 // A replica, or a gang, would run sooner on a node that has the image. It must not wait for that node while another one has room and the
 // tasks on the first exceed their estimates.
 TEST_F(WaitingBounds, AJobDoesNotWaitForANodeWithItsImageWhoseTasksOverrun) {
