An overdue array beyond its guarantee takes one task of kept capacity at a time

Change: PlanJob::units_beyond_backfill says how many units may exceed the backfill capacity: all of services, gangs and arrays within a guarantee, one of other arrays. Such an array still has a start at least every 60 s while a node has room. is_backfill is a rule about job and node again, and backfill_units answers for placement alone.

Measured: WaitingBounds.ArraysBeyondAGuaranteeTakeOneTaskOfKeptCapacityAtATime fails with all units at once (60 tasks placed) and passes.

--- a/src/scheduling/failed_searches.hpp
+++ b/src/scheduling/failed_searches.hpp
@@ -25,10 +25,12 @@
   struct Eligibility {
     std::vector<MachineTypeIndex> machine_types;
     ZoneIndex zone;
-    bool allows_spot, overdue;
+    bool allows_spot, may_exceed_backfill;
     auto operator<=>(const Eligibility&) const = default;
   };
-  static Eligibility eligibility_of(const PlanJob& job) { return {job.machine_types, job.zone, job.allows_spot, job.overdue}; }
+  static Eligibility eligibility_of(const PlanJob& job) {
+    return {job.machine_types, job.zone, job.allows_spot, job.units_beyond_backfill > 0};
+  }
   // Whether the job's eligibility and demand alone decide where it fits.
   static bool is_comparable(const PlanJob& job);
 
--- a/src/scheduling/placement_rules.cpp
+++ b/src/scheduling/placement_rules.cpp
@@ -21,7 +21,7 @@
   if (job.zone.valid() && node.zone != job.zone) return false;
   if (!job.machine_types.empty() && !contains(job.machine_types, node.machine_type)) return false;
   if (contains(job.avoided_nodes, node.node)) return false;
-  if (is_backfill(job, node) && !job.demand.fits(node.backfill_capacity)) return false;
+  if (is_backfill(job, node) && job.units_beyond_backfill == 0 && !job.demand.fits(node.backfill_capacity)) return false;
   return job.demand.fits(node.capacity);
 }
 
@@ -41,7 +41,7 @@
 }
 
 bool is_backfill(const PlanJob& job, const PlanNode& node) {
-  if (job.demand.accelerators > 0 || job.overdue) return false;
+  if (job.demand.accelerators > 0) return false;
   return node.backfill_rule == PlanNode::BackfillRule::reserved ||
          (node.backfill_rule == PlanNode::BackfillRule::limited_for_services && job.service);
 }
--- a/src/scheduling/placement_rules.hpp
+++ b/src/scheduling/placement_rules.hpp
@@ -17,7 +17,7 @@
 bool is_planned_before(const PlanJob& a, const PlanJob& b);
 // Whether any of the tasks counted by zone is outside `zone`.
 bool has_tasks_in_other_zone(const std::vector<std::uint32_t>& tasks_by_zone, ZoneIndex zone);
-// Whether the job's tasks on this node are limited to its backfill capacity. An overdue job is not.
+// Whether the job's tasks on this node are limited to its backfill capacity, but for the job's units beyond it.
 bool is_backfill(const PlanJob& job, const PlanNode& node);
 // Returns random_draw / max(estimate_s, 10 s) + weight * waited_s; for services the second term only.
 double compute_sort_key(double random_draw, double estimate_s, double weight, double waited_s, bool service);
--- a/src/scheduling/plan.hpp
+++ b/src/scheduling/plan.hpp
@@ -43,7 +43,7 @@
   std::uint32_t units = 0;
   bool gang = false;     // all units start together or none
   bool service = false;  // runs until cancelled
-  bool overdue = false;  // left waiting for so long that it may use capacity kept free for other work
+  bool overdue = false;  // left waiting for too long (waiting_times.hpp)
   Resources demand;      // of one unit
   double estimated_run_s = 0;
   double image_gb = 0;
@@ -59,6 +59,7 @@
   std::vector<std::uint32_t> tasks_by_zone;  // placed tasks of the job; filled only where a rule needs the counts
   std::vector<std::uint32_t> tasks_by_node;  // placed tasks of the job by position in PlanInput::nodes; empty: none
   std::vector<NodeIndex> avoided_nodes;      // nodes on which the job failed recently
+  std::uint32_t units_beyond_backfill = 0;   // units that may use capacity that nodes keep free for accelerator tasks
   bool suspect = false;                      // fails wherever it runs: causes neither preemption nor scale-out
   double remaining_start_target_s = 0;       // services: time left to meet the last start target; 0: no target, or it is missed
   double max_wait_s = 2;                     // maximum wait for a reserved slot before other work is preempted
--- a/src/scheduling/plan_builder.cpp
+++ b/src/scheduling/plan_builder.cpp
@@ -28,8 +28,8 @@
   double cost = image_pull_s(job, position);
   // Keeps nodes with accelerators free for work that needs them while other nodes have capacity.
   if (job.demand.accelerators == 0 && node.capacity.accelerators > 0) cost += kAcceleratorNodeCost;
-  // Overdue tasks go where accelerator tasks have lost their room already, so that as few nodes as possible are lost to them.
-  if (job.overdue && takes_kept_capacity(job, position)) cost += kKeptCapacityCost;
+  // Units beyond the backfill capacity go where accelerator tasks have lost their room already, so that they lose few nodes.
+  if (is_first_beyond_backfill(job, position)) cost += kKeptCapacityCost;
   // Prefers spot nodes for jobs that allow them, which leaves the others to jobs that do not.
   if (job.allows_spot && node.spot) cost -= kSpotBonus;
   // Spreads the replicas of a service, so that the loss of a node or zone takes few of them.
@@ -40,8 +40,8 @@
   return cost + (node.capacity.cores > 0 ? free.cores / node.capacity.cores : 0);
 }
 
-bool PlanBuilder::takes_kept_capacity(const PlanJob& job, NodePosition position) const {
-  if (job.demand.accelerators > 0 || input_.nodes[position].backfill_rule == PlanNode::BackfillRule::unrestricted) return false;
+bool PlanBuilder::is_first_beyond_backfill(const PlanJob& job, NodePosition position) const {
+  if (job.units_beyond_backfill == 0 || !is_backfill(job, input_.nodes[position])) return false;
   const Resources& left = backfill_capacity_[position];
   return left.cores >= 0 && left.ram_gb >= 0 && !job.demand.fits(left);
 }
@@ -49,7 +49,10 @@
 void PlanBuilder::add_slot(PlanJob& job, NodePosition position, std::uint32_t units, double start_at) {
   const PlanNode& node = input_.nodes[position];
   profiles_[position].allocate(job.demand * units, start_at, run_duration_s(job, position));
-  if (is_backfill(job, node) || job.overdue) backfill_capacity_[position] -= job.demand * units;
+  if (is_backfill(job, node)) {
+    if (!job.demand.fits(backfill_capacity_[position])) job.units_beyond_backfill -= std::min(job.units_beyond_backfill, units);
+    backfill_capacity_[position] -= job.demand * units;
+  }
   count_at(job.tasks_by_zone, node.zone.value) += units;
   count_at(job.tasks_by_node, position) += units;
   auto& slots = is_now(start_at) ? plan_.starts : plan_.reservations;
--- a/src/scheduling/plan_builder.hpp
+++ b/src/scheduling/plan_builder.hpp
@@ -74,12 +74,11 @@
   [[nodiscard]] bool reservations_full() const { return plan_.reservations.size() >= input_.max_reservations; }
   [[nodiscard]] bool is_now(double time) const { return time <= input_.now; }
 
-  // Whether one more unit fits into the node's backfill capacity; true if the job is not limited to it.
-  [[nodiscard]] bool has_backfill_capacity(const PlanJob& job, NodePosition position) const {
-    return !is_backfill(job, input_.nodes[position]) || job.demand.fits(backfill_capacity_[position]);
-  }
+  // Units that the node's backfill rule admits: as many as fit into its backfill capacity; if none does, the job's units beyond it.
   [[nodiscard]] std::uint32_t backfill_units(const PlanJob& job, NodePosition position) const {
-    return is_backfill(job, input_.nodes[position]) ? count_whole_units(job.demand, backfill_capacity_[position]) : UINT32_MAX;
+    if (!is_backfill(job, input_.nodes[position])) return UINT32_MAX;
+    const std::uint32_t fitting = count_whole_units(job.demand, backfill_capacity_[position]);
+    return fitting > 0 ? fitting : job.units_beyond_backfill;
   }
 
   // Gives units of the job a slot on the node and adds them to the job's task counts.
@@ -92,8 +91,8 @@
   }
 
  private:
-  // Whether a unit of the job would be the first to take capacity of the node that is kept free for accelerator tasks.
-  [[nodiscard]] bool takes_kept_capacity(const PlanJob& job, NodePosition position) const;
+  // Whether a unit of the job would be the first on the node beyond its backfill capacity.
+  [[nodiscard]] bool is_first_beyond_backfill(const PlanJob& job, NodePosition position) const;
 
   static constexpr double kNotComputed = -1;
   static constexpr double kMinRunSeconds = 1.0;
--- a/src/scheduling/plan_input_builder.cpp
+++ b/src/scheduling/plan_input_builder.cpp
@@ -69,6 +69,12 @@
   return 2 * static_cast<int>(job.urgency.priority) + (within_guarantee ? 1 : 0);
 }
 
+// Units of an overdue job that may use capacity kept for accelerator tasks. An array beyond its guarantee gets one at a time, so that it is
+// not left waiting; all at once would fill the nodes that accelerator jobs need.
+std::uint32_t overdue_units(const Job& job, bool within_guarantee) {
+  return job.spec.job_type == JobType::array && !within_guarantee ? 1 : UINT32_MAX;
+}
+
 void count_tasks_by_zone(PlanJob& plan_job, const ClusterState& cluster_state, const Job& job) {
   for (const auto& [task, placement] : job.placed) {
     const ZoneIndex zone = cluster_state.node(placement.node).zone;
@@ -141,6 +147,7 @@
     const bool is_guaranteed = within_guarantee.contains(j);
     const Waited waited = waiting_times_.measure(j, cluster_state.job(j), context.wall_now);
     plan_job.overdue = (is_guaranteed ? waited.pending_s : waited.without_start_s) >= kOverdueAfterSeconds;
+    if (plan_job.overdue) plan_job.units_beyond_backfill = overdue_units(cluster_state.job(j), is_guaranteed);
     plan_job.tier = planning_tier(cluster_state.job(j), plan_job, is_guaranteed);
     input.jobs.push_back(std::move(plan_job));
   }
--- a/src/scheduling/unit_placement.cpp
+++ b/src/scheduling/unit_placement.cpp
@@ -19,7 +19,7 @@
   }
   const auto& nodes = builder_.input().nodes;
   for (NodePosition position = 0; position < nodes.size(); ++position)
-    if (may_run_on(job_, nodes[position]) && builder_.has_backfill_capacity(job_, position)) add_candidate(position, builder_.input().now);
+    if (may_run_on(job_, nodes[position]) && builder_.backfill_units(job_, position) > 0) add_candidate(position, builder_.input().now);
   while (remaining_units_ > 0 && !candidates_.empty()) {
     const Candidate candidate = candidates_.top();
     candidates_.pop();
@@ -59,7 +59,7 @@
   const NodePosition position = candidate.position;
   const ZoneIndex zone = builder_.node(position).zone;
   const std::uint32_t tasks_in_zone = count_at(job_.tasks_by_zone, zone.value);
-  if (tasks_in_zone >= job_.max_tasks_per_zone || !builder_.has_backfill_capacity(job_, position)) return 0;
+  if (tasks_in_zone >= job_.max_tasks_per_zone || builder_.backfill_units(job_, position) == 0) return 0;
   if (job_.single_zone && has_tasks_in_other_zone(job_.tasks_by_zone, zone)) return 0;
   std::uint32_t units = std::min(remaining_units_, job_.max_tasks_per_zone - tasks_in_zone);
   units = std::min(
--- a/tests/waiting_bounds_test.cpp
+++ b/tests/waiting_bounds_test.cpp
@@ -177,6 +177,24 @@
   EXPECT_LE(wait_until_placed({"j-2", "j-3"}), kMaxWaitS);
 }
 
+// An array beyond its guarantee is not left waiting either, but it leaves the nodes to accelerator jobs that keep coming.
+TEST_F(WaitingBounds, ArraysBeyondAGuaranteeTakeOneTaskOfKeptCapacityAtATime) {
+  for (const char* name : {"m-1", "m-2"}) add_node(name, "accelerated");
+  run_trainings(2);
+  accept(spec("j-2", JobType::array, 60, {1, 0, 1}, 1000));
+  for (int i = 10; i < 40; ++i) {
+    const std::vector<std::string> uids{"j-3" + std::to_string(i), "j-4" + std::to_string(i)};
+    for (const auto& uid : uids) accept(spec(uid, JobType::gang, 1, kTraining, 3));
+    const double accepted_at = now;
+    EXPECT_LE(wait_until_placed(uids), 4) << "one node is left to them";
+    run_for(accepted_at + 10 - now);
+    EXPECT_LE(now - last_start_at.at("j-2"), kMaxWaitS);
+  }
+  const std::size_t placed = cluster_state.job(cluster_state.find("j-2")).placed.size();
+  EXPECT_GE(placed, 14u + 3u) << "14 beside accelerator jobs, then one at least every 90 s";
+  EXPECT_LE(placed, 14u + 5u) << "and at most every 60 s";
+}
+
 // Overdue tasks take kept capacity of as few nodes as possible, so that accelerator jobs lose few nodes to them.
 TEST_F(WaitingBounds, OverdueTasksLeaveOtherNodesToAcceleratorJobs) {
   for (const char* name : {"m-1", "m-2", "m-3", "m-4"}) add_node(name, "accelerated");
