--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -119,25 +119,29 @@
         connection.close()
 
 
-_reserved = set()
+_reserved = []
 
 
 def free_port():
-    while True:
-        with socket.socket() as s:
-            s.bind(("127.0.0.1", 0))
-            port = s.getsockname()[1]
-        # Below the usual range of outgoing connections, so that none of them takes the port before its owner listens.
-        port = 10000 + port % 20000
-        if port in _reserved:
-            continue
-        with socket.socket() as s:
+    """A free port below the usual range of outgoing connections. It stays reserved: the socket is bound with SO_REUSEADDR, as the
+    controller's is, and doesn't listen; a plain bind, such as the one of another case, fails."""
+    for _ in range(1000):
+        port = random.randrange(10000, 30000)
+        with socket.socket() as probe:
             try:
-                s.bind(("127.0.0.1", port))
+                probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        _reserved.add(port)
+        reservation = socket.socket()
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            reservation.bind(("127.0.0.1", port))
+        except OSError:
+            reservation.close()
+            continue
+        _reserved.append(reservation)
         return port
+    raise CaseError("no free port")
 
 
 # ---------------------------------------------------------------- state service
