Logs and metrics that show a task run without a placement, and commands by token

Now: a line (20 a second at most, the rest counted) when an agent reports an attempt that the ledger does not place there, with the agent's token and where the task is placed; at debug each command with token and incarnation; counters of starts, kills and acknowledgements sent, of unplaced tasks and of token raises; the store revision of the ledger that a new leader read. No behaviour changes.

--- a/src/controller/agent_messages.hpp
+++ b/src/controller/agent_messages.hpp
@@ -5,9 +5,11 @@
 
 #include "controller/commit_queue.hpp"
 #include "controller/controller_metrics.hpp"
+#include "controller/log_rate_limit.hpp"
 #include "controller/shared_state.hpp"
 #include "model/command.hpp"
 #include "model/heartbeat.hpp"
+#include "worker_control/heartbeat_application.hpp"
 
 namespace thistlefront {
 
@@ -30,11 +32,14 @@
 
  private:
   void log_incarnation_change(const Heartbeat& message) const;
+  void log_unplaced_tasks(const Heartbeat& message, const std::vector<UnplacedTask>& tasks);
+  void count_and_log(const Node& node, const std::vector<Command>& commands) const;
   void observe_responsiveness(Node& node, const Heartbeat& message, MessageKind kind, double now);
 
   SharedState& shared_;
   CommitQueue& commit_queue_;
   ControllerMetrics& metrics_;
+  LogRateLimit unplaced_task_lines_;
 };
 
 }  // namespace thistlefront
--- a/src/controller/controller_metrics.hpp
+++ b/src/controller/controller_metrics.hpp
@@ -27,6 +27,10 @@
   Count heartbeats{0}, repeated_heartbeats{0}, relayed_heartbeats{0}, partition_renewals{0};
   // Heartbeats replied to while leadership was uncertain, and kills sent with these replies.
   Count replied_while_uncertain{0}, kills_while_uncertain{0};
+  // Commands sent to agents, in direct calls and in replies to heartbeats.
+  Count starts_sent{0}, kills_sent{0}, acknowledgements_sent{0};
+  // Tasks that agents ran without a placement, and raises of the fencing token.
+  Count unplaced_tasks{0}, token_raises{0};
   // Nodes.
   Count cordoned{0}, unresponsive{0};
   // Hand-overs of leadership, and corrected quota accounts.
--- a/src/controller/ledger_committer.cpp
+++ b/src/controller/ledger_committer.cpp
@@ -323,6 +323,7 @@
   term.fencing_token = *token;
   term.raise_token_requested = term.leader_key_update_unacknowledged = false;
   term.token_raised_at = steady_now();
+  ++metrics_.counters.token_raises;
   shared_.observe_leader(*token, config.settings.label);
   spdlog::info("leader: fencing token raised to {} to fence unanswered commands", *token);
   return true;
--- a/src/controller/ledger_recovery.cpp
+++ b/src/controller/ledger_recovery.cpp
@@ -98,6 +98,7 @@
   Term& term = *shared_.term;
   shared_.ledger_unreadable_since = 0;
   const auto entries = ledger.entries;
+  const auto revision = ledger.revision;
   term.first_term_ever = entries == 0;
   term.ledger_writer = LedgerWriter(std::move(ledger.contents), term.active_version.written_version());
   term.cluster_state = std::move(ledger.cluster_state);
@@ -111,8 +112,8 @@
   shared_.role = Role::leading;
   if (const auto counts = cluster_state.dependency_graph().counts(); counts.unresolved_names > 0)
     spdlog::error("ledger: {} jobs that others depend on are missing, their dependents do not start", counts.unresolved_names);
-  spdlog::info("ledger: read, {} entries, {} live jobs, {:.0f} ms after the takeover", entries, cluster_state.live().size(),
-               (steady_now() - started_at) * 1000);
+  spdlog::info("ledger: read, {} entries, {} live jobs, {:.0f} ms after the takeover, store revision {}", entries,
+               cluster_state.live().size(), (steady_now() - started_at) * 1000, revision);
   shared_.role_changed.notify_all();
   commit_queue_.notify_progress();
   shared_.request_pass();
--- a/src/controller/metrics_reporter.cpp
+++ b/src/controller/metrics_reporter.cpp
@@ -100,6 +100,11 @@
   const auto backlog = relay_.backlog();
   add_line(out, "intake_waiting", backlog.heartbeats);
   add_line(out, "intake_oldest_seconds", backlog.oldest_s);
+  add_line(out, "starts_sent_total", counters.starts_sent.load());
+  add_line(out, "kills_sent_total", counters.kills_sent.load());
+  add_line(out, "acknowledgements_sent_total", counters.acknowledgements_sent.load());
+  add_line(out, "unplaced_tasks_total", counters.unplaced_tasks.load());
+  add_line(out, "token_raises_total", counters.token_raises.load());
   add_line(out, "suspected_jobs_total", counters.suspected.load());
   add_line(out, "machines_set_aside_total", counters.cordoned.load());
   add_line(out, "machines_deaf_total", counters.unresponsive.load());
--- a/src/worker_control/heartbeat_application.cpp
+++ b/src/worker_control/heartbeat_application.cpp
@@ -62,7 +62,7 @@
       replace_reported_tasks();
     }
     remove_absent_stopped_tasks();
-    return {false, needs_scheduling_pass_, end_records_.records(cluster_state_)};
+    return {false, needs_scheduling_pass_, end_records_.records(cluster_state_), std::move(unplaced_)};
   }
 
  private:
@@ -123,22 +123,26 @@
 
   void replace_reported_tasks() {
     std::vector<ReportedTask>& reported_tasks = node_.agent.tasks;
-    reported_tasks.clear();
+    const std::vector<ReportedTask> previous = std::exchange(reported_tasks, {});
+    reported_tasks.reserve(heartbeat_.tasks.size());
     for (const auto& task_report : heartbeat_.tasks) {
       ReportedTask reported;
       reported.ref = {cluster_state_.find(task_report.id.uid), task_report.id.task};
       reported.attempt = task_report.attempt;
       reported.phase = task_report.phase;
       if (!reported.ref.job.valid()) reported.uid = task_report.id.uid;
-      update_placement(reported, task_report.exit_reason);
+      const bool is_placed = update_placement(reported, task_report.exit_reason);
+      if (!is_placed && reported.phase != TaskPhase::exited && !find_reported_task(previous, reported.ref, reported.attempt))
+        unplaced_.push_back({task_report.id, reported.attempt});
       reported_tasks.push_back(std::move(reported));
     }
     std::sort(reported_tasks.begin(), reported_tasks.end(), has_smaller_ref);
   }
 
-  void update_placement(const ReportedTask& reported, ExitReason exit_reason) {
+  // Returns whether the cluster state places this attempt on the node.
+  bool update_placement(const ReportedTask& reported, ExitReason exit_reason) {
     Placement* placement = cluster_state_.placement(reported.ref);
-    if (!is_placement_of(placement, node_index_, heartbeat_.agent_incarnation, reported.attempt)) return;
+    if (!is_placement_of(placement, node_index_, heartbeat_.agent_incarnation, reported.attempt)) return false;
     placement->reported = true;
     const bool phase_changed = placement->phase != reported.phase;
     placement->phase = reported.phase;
@@ -147,6 +151,7 @@
       record_healthy_replica(reported.ref, *placement);
     }
     if (reported.phase == TaskPhase::exited && !placement->removal_pending) apply_exit(reported.ref, *placement, exit_reason);
+    return true;
   }
 
   void record_healthy_replica(TaskRef ref, const Placement& placement) {
@@ -188,6 +193,7 @@
   const bool is_heartbeat_;
   const std::uint64_t takeover_token_;
   TaskEndRecords end_records_;
+  std::vector<UnplacedTask> unplaced_;
   bool needs_scheduling_pass_ = false;
 };
 
--- a/src/worker_control/heartbeat_application.hpp
+++ b/src/worker_control/heartbeat_application.hpp
@@ -8,14 +8,22 @@
 #include "cluster_state/cluster_state.hpp"
 #include "model/heartbeat.hpp"
 #include "model/ledger_records.hpp"
+#include "model/task.hpp"
 #include "worker_control/timestamps.hpp"
 
 namespace thistlefront {
 
+// A task that an agent holds and that has not exited, although the cluster state does not place this attempt on its node.
+struct UnplacedTask {
+  TaskId id;
+  std::uint64_t attempt = 0;
+};
+
 struct HeartbeatOutcome {
   bool stale = false;                  // not newer than a message that was already applied: the message was ignored
   bool needs_scheduling_pass = false;  // the node became usable or is to be interrupted, or a task on it ended
   std::vector<Record> records;         // completed and removed tasks, to be written to the ledger
+  std::vector<UnplacedTask> unplaced;  // those that the previous message did not contain
 };
 
 // `is_heartbeat`: the message is a heartbeat and not the reply to a direct command. The agent has then executed or dropped the
--- a/src/worker_control/task_lookup.hpp
+++ b/src/worker_control/task_lookup.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include "cluster_state/cluster_state.hpp"
 #include "model/identifiers.hpp"
@@ -13,13 +14,19 @@
   return placement && placement->node == node && placement->agent_incarnation == agent_incarnation && placement->attempt == attempt;
 }
 
-// Returns the attempt as the agent's newest message reported it, or null if that message did not contain it.
-inline const ReportedTask* find_reported_task(const AgentState& agent, TaskRef ref, std::uint64_t attempt) {
-  auto it = std::lower_bound(agent.tasks.begin(), agent.tasks.end(), ref,
+// Returns the attempt as a message of the agent reported it, or null if that message did not contain it. `tasks`: of the message, sorted
+// by ref.
+inline const ReportedTask* find_reported_task(const std::vector<ReportedTask>& tasks, TaskRef ref, std::uint64_t attempt) {
+  auto it = std::lower_bound(tasks.begin(), tasks.end(), ref,
                              [](const ReportedTask& reported, const TaskRef& wanted) { return reported.ref < wanted; });
-  for (; it != agent.tasks.end() && it->ref == ref; ++it)
+  for (; it != tasks.end() && it->ref == ref; ++it)
     if (it->attempt == attempt) return &*it;
   return nullptr;
 }
 
+// The same for the agent's newest message.
+inline const ReportedTask* find_reported_task(const AgentState& agent, TaskRef ref, std::uint64_t attempt) {
+  return find_reported_task(agent.tasks, ref, attempt);
+}
+
 }  // namespace thistlefront
