--- a/testbed/checker.cpp
+++ b/testbed/checker.cpp
@@ -115,6 +115,12 @@
   }
 }
 
+void Checker::record_attempt(const std::string& uid, std::uint32_t task, std::uint64_t attempt, const std::string& node, double now) {
+  std::lock_guard lock(mutex_);
+  if (jobs_[uid].started_attempts.insert({task, attempt}).second) return;
+  add_violation("ran_again", uid + "/" + std::to_string(task) + " attempt " + std::to_string(attempt) + " on " + node, now);
+}
+
 void Checker::record_task_start(const std::string& uid, std::uint32_t task, const std::string& node, const std::string& zone, double now) {
   std::lock_guard lock(mutex_);
   Job& job = jobs_[uid];
--- a/testbed/checker.hpp
+++ b/testbed/checker.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace thistlefront::testbed {
@@ -38,6 +39,8 @@
   void record_withdrawal(const std::string& uid);
   // A poll got no reply, or one without a job status.
   void record_failed_poll(const std::string& uid, double now);
+  // An agent carries out a command to start this attempt. Each attempt may be started once only, whatever became of it.
+  void record_attempt(const std::string& uid, std::uint32_t task, std::uint64_t attempt, const std::string& node, double now);
   // A task runs on a node from the moment its image is pulled until it exits or is removed. `completed`: it exited because it was done.
   void record_task_start(const std::string& uid, std::uint32_t task, const std::string& node, const std::string& zone, double now);
   void record_task_end(const std::string& uid, std::uint32_t task, const std::string& node, bool completed, double now);
@@ -75,7 +78,8 @@
     // When the latest request was sent whose reply was "unknown" or "refused", or a status that is not final.
     double unknown_sent_at = 0, unfinished_sent_at = 0;
     std::set<std::uint32_t> completed_tasks;
-    std::map<std::uint32_t, std::multiset<std::string>> nodes_by_task;  // where each task runs
+    std::map<std::uint32_t, std::multiset<std::string>> nodes_by_task;   // where each task runs
+    std::set<std::pair<std::uint32_t, std::uint64_t>> started_attempts;  // tasks and attempts
   };
   // When a requested cancellation of the job or of one of its direct and indirect dependencies was first reported; 0: never.
   [[nodiscard]] double earliest_cancellation(const std::string& uid) const;
--- a/testbed/worker.cpp
+++ b/testbed/worker.cpp
@@ -19,6 +19,19 @@
 constexpr int kServerConnections = 20;
 // Longer than a controller waits for the reply to a command.
 constexpr std::chrono::milliseconds kLostCommandDelay{1600};
+constexpr std::size_t kMaxExecutedCalls = 1000;                      // kept to be delivered once more
+constexpr double kMinDuplicateDelayS = 1, kMaxDuplicateDelayS = 60;  // of a call to `/commands`
+
+// The first duplicate that is due, removed from the list; empty: none is due.
+template <class Duplicates>
+std::string take_due(Duplicates& duplicates) {
+  const auto it =
+      std::find_if(duplicates.begin(), duplicates.end(), [](const auto& duplicate) { return duplicate.due_at <= steady_now(); });
+  if (it == duplicates.end()) return {};
+  std::string body = std::move(it->body);
+  duplicates.erase(it);
+  return body;
+}
 }  // namespace
 
 Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker, ProtocolTimes times,
@@ -29,6 +42,7 @@
   heartbeat_thread_ = std::jthread([this](const std::stop_token& stop) { send_heartbeats(stop); });
   lease_thread_ = std::jthread([this](const std::stop_token& stop) { watch_lease(stop); });
   duplicates_thread_ = std::jthread([this](const std::stop_token& stop) { send_delayed_heartbeats(stop); });
+  command_duplicates_thread_ = std::jthread([this](const std::stop_token& stop) { deliver_delayed_commands(stop); });
 }
 
 // ---- threads
@@ -52,16 +66,30 @@
     std::string body;
     {
       std::lock_guard lock(mutex_);
-      const auto it =
-          std::find_if(duplicates_.begin(), duplicates_.end(), [](const auto& duplicate) { return duplicate.due_at <= steady_now(); });
-      if (it == duplicates_.end()) continue;
-      body = std::move(it->body);
-      duplicates_.erase(it);
+      body = take_due(duplicates_);
     }
+    if (body.empty()) continue;
     HttpClient(controllers_[random() % controllers_.size()]).post("/v1/report", body, 1);
   }
 }
 
+void Worker::deliver_delayed_commands(const std::stop_token& stop) {
+  while (pause_for(stop, kPollIntervalS)) {
+    // A hanging agent executes them when it resumes.
+    if (steady_now() < hangs_until_) continue;
+    std::lock_guard lock(mutex_);
+    advance_to(steady_now());
+    for (auto body = take_due(command_duplicates_); !body.empty(); body = take_due(command_duplicates_)) execute_call(json::parse(body));
+  }
+}
+
+void Worker::repeat_executed_commands() {
+  std::lock_guard lock(mutex_);
+  advance_to(steady_now());
+  for (const auto& body : std::deque<std::string>(executed_calls_)) execute_call(json::parse(body));
+  advance_to(steady_now());
+}
+
 void Worker::send_heartbeats(const std::stop_token& stop) {
   {
     std::lock_guard lock(mutex_);
@@ -140,15 +168,23 @@
 
 std::string Worker::heartbeat_body() {
   json tasks = json::array();
-  for (const auto& [name, task] : tasks_) {
+  for (const auto& [key, task] : tasks_) {
     const char* status = task.exited ? "exited" : task.running ? "running" : "pulling";
-    json described{{"piece", name}, {"try", task.attempt}, {"status", status}};
+    json described{{"piece", key.first}, {"try", task.attempt}, {"status", status}};
     if (task.exited) described["cause"] = task.exit_reason;
     tasks.push_back(std::move(described));
   }
-  return json{{"host", name_},      {"address", address_},          {"hostKind", "big"},   {"yard", zone_},
-              {"loaners", false},   {"tenure", agent_incarnation_}, {"serial", ++serial_}, {"epoch", fencing_token_},
-              {"recallS", nullptr}, {"pieces", std::move(tasks)}}
+  const json interruption_in_s = interruption_at_ > 0 ? json(std::max(0.0, interruption_at_ - steady_now())) : json(nullptr);
+  return json{{"host", name_},
+              {"address", address_},
+              {"hostKind", "big"},
+              {"yard", zone_},
+              {"loaners", false},
+              {"tenure", agent_incarnation_},
+              {"serial", ++serial_},
+              {"epoch", fencing_token_},
+              {"recallS", interruption_in_s},
+              {"pieces", std::move(tasks)}}
       .dump();
 }
 
@@ -170,12 +206,25 @@
 HttpReply Worker::handle_commands(const HttpCall& call) {
   const auto body = json::parse(call.body, nullptr, false);
   if (!body.is_object() || !body.contains("epoch") || !body.contains("tenure")) return {400, "{}"};
+  if (!execute_call(body)) return {409, heartbeat_body()};
+  executed_calls_.emplace_back(call.body);
+  if (executed_calls_.size() > kMaxExecutedCalls) executed_calls_.pop_front();
+  if (duplicates_commands_ && random_() % 2 == 0) schedule_command_duplicates(executed_calls_.back());
+  return {200, heartbeat_body()};
+}
+
+bool Worker::execute_call(const json& body) {
   const auto fencing_token = body.at("epoch").get<std::uint64_t>();
-  if (terminated_ || fencing_token < fencing_token_ || body.at("tenure") != agent_incarnation_) return {409, heartbeat_body()};
+  if (terminated_ || fencing_token < fencing_token_ || body.at("tenure") != agent_incarnation_) return false;
   changed_ |= fencing_token > fencing_token_;
   fencing_token_ = fencing_token;
   execute(body.at("orders"));
-  return {200, heartbeat_body()};
+  return true;
+}
+
+void Worker::schedule_command_duplicates(const std::string& body) {
+  std::uniform_real_distribution<double> delay_s(kMinDuplicateDelayS, kMaxDuplicateDelayS);
+  for (auto copies = 1 + random_() % 2; copies > 0; --copies) command_duplicates_.push_back({steady_now() + delay_s(random_), body});
 }
 
 void Worker::execute(const json& commands) {
@@ -184,10 +233,10 @@
     const auto name = command.at("piece").get<std::string>();
     const auto attempt = command.at("try").get<std::uint64_t>();
     const auto verb = command.at("verb").get<std::string>();
-    const auto it = tasks_.find(name);
+    const auto it = tasks_.find({name, attempt});
     if (verb == "run") {
-      if (it == tasks_.end()) run_task(name, attempt, now);
-    } else if (it != tasks_.end() && it->second.attempt == attempt) {
+      if (it == tasks_.end()) run_task({name, attempt}, now);
+    } else if (it != tasks_.end()) {
       if (verb == "reap" && it->second.exited) {
         tasks_.erase(it);
       } else if (verb == "kill" && !it->second.exited) {
@@ -198,26 +247,33 @@
   }
 }
 
-void Worker::run_task(const std::string& name, std::uint64_t attempt, double now) {
+void Worker::run_task(const TaskKey& key, double now) {
+  const auto& [name, attempt] = key;
   const auto slash = name.find('/');
   Task task;
   task.uid = name.substr(0, slash);
   task.task = static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)));
   task.attempt = attempt;
   task.commanded_at = now;
-  if (const auto spec = checker_.find_submission(task.uid)) {
+  const auto spec = checker_.find_submission(task.uid);
+  task.exit_reason = refusal_of(key, spec);
+  task.exited = !task.exit_reason.empty();
+  if (spec) {
     task.run_s = spec->run_s;
     task.service = spec->job_type == "service";
-    task.exited = used_cores() + spec->cores > kNodeCores;
-    if (task.exited) task.exit_reason = "no_room";
-  } else {
-    task.exited = true;
-    task.exit_reason = "unknown";
+    checker_.record_attempt(task.uid, task.task, attempt, name_, now);
   }
-  tasks_.emplace(name, std::move(task));
+  tasks_.emplace(key, std::move(task));
   changed_ = true;
 }
 
+std::string Worker::refusal_of(const TaskKey& key, const std::optional<SubmittedJob>& spec) const {
+  if (!spec) return "unknown";
+  const auto held = tasks_.lower_bound({key.first, 0});
+  if (held != tasks_.end() && held->first.first == key.first) return "busy";
+  return used_cores() + spec->cores > kNodeCores ? "no_room" : "";
+}
+
 void Worker::kill_task(Task& task, double now) {
   if (task.running) checker_.record_task_end(task.uid, task.task, name_, false, now);
   task.exited = true;
@@ -227,7 +283,7 @@
 
 double Worker::used_cores() const {
   double used = 0;
-  for (const auto& [name, task] : tasks_) {
+  for (const auto& [key, task] : tasks_) {
     const auto spec = checker_.find_submission(task.uid);
     if (spec && !task.exited) used += spec->cores;
   }
@@ -238,34 +294,42 @@
 
 void Worker::advance_to(double now) {
   if (terminated_) return;
-  if (now > lease_expires_at_) {
-    remove_all_tasks(now);
-    ++agent_incarnation_;
-    lease_expires_at_ = now + times_.lease_s;
-  }
-  for (auto& [name, task] : tasks_) {
+  if (now > lease_expires_at_) begin_incarnation(now);
+  for (auto& [key, task] : tasks_) {
     if (task.exited) continue;
     const double starts_at = task.commanded_at + times_.image_pull_s;
     if (!task.running && now >= starts_at) {
       task.running = changed_ = true;
       checker_.record_task_start(task.uid, task.task, name_, zone_, now);
     }
-    if (task.running && !task.service && now >= starts_at + task.run_s) {
+    const bool fails = task.running && fails_tasks_;
+    if (fails || (task.running && !task.service && now >= starts_at + task.run_s)) {
       task.running = false;
       task.exited = changed_ = true;
-      task.exit_reason = "done";
-      checker_.record_task_end(task.uid, task.task, name_, true, now);
+      task.exit_reason = fails ? "error" : "done";
+      checker_.record_task_end(task.uid, task.task, name_, !fails, now);
     }
   }
 }
 
 void Worker::remove_all_tasks(double now) {
-  for (const auto& [name, task] : tasks_)
+  for (const auto& [key, task] : tasks_)
     if (task.running) checker_.record_task_end(task.uid, task.task, name_, false, now);
   tasks_.clear();
   changed_ = true;
 }
 
+void Worker::begin_incarnation(double now) {
+  remove_all_tasks(now);
+  ++agent_incarnation_;
+  lease_expires_at_ = now + times_.lease_s;
+}
+
+void Worker::restart() {
+  std::lock_guard lock(mutex_);
+  begin_incarnation(steady_now());
+}
+
 void Worker::terminate() {
   std::lock_guard lock(mutex_);
   remove_all_tasks(steady_now());
--- a/testbed/worker.hpp
+++ b/testbed/worker.hpp
@@ -4,18 +4,22 @@
 #pragma once
 #include <algorithm>
 #include <atomic>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "testbed/checker.hpp"
 #include "testbed/free_address.hpp"
+#include "transport/clock.hpp"
 #include "transport/http.hpp"
 
 namespace thistlefront::testbed {
@@ -46,11 +50,26 @@
   void drop_commands(bool drops) { drops_commands_ = drops; }
   // While set, one in eight heartbeats arrives a second time, up to three lease durations late, at a random controller.
   void duplicate_heartbeats(bool duplicates) { duplicates_heartbeats_ = duplicates; }
+  // While set, half of the calls to `/commands` that were executed and answered arrive once or twice more, up to a minute late.
+  void duplicate_commands(bool duplicates) { duplicates_commands_ = duplicates; }
+  // Delivers once more, in their order, the latest 1,000 calls to `/commands` that were executed.
+  void repeat_executed_commands();
+  // The node comes back with a new incarnation, without its tasks.
+  void restart();
+  // The cloud takes the node away in this time, as the next heartbeats say.
+  void announce_interruption(double in_s) { interruption_at_ = steady_now() + in_s; }
+  // While set, tasks fail as soon as they have their image.
+  void fail_tasks(bool fails) { fails_tasks_ = fails; }
   // Incremented each time the lease expires.
   [[nodiscard]] std::uint64_t agent_incarnation() {
     std::lock_guard lock(mutex_);
     return agent_incarnation_;
   }
+  // Number of attempts that the agent reports, exited ones that are not acknowledged included.
+  [[nodiscard]] std::size_t reported_attempts() {
+    std::lock_guard lock(mutex_);
+    return tasks_.size();
+  }
   // Number of tasks on the node that have not exited.
   [[nodiscard]] std::size_t unfinished_tasks() {
     std::lock_guard lock(mutex_);
@@ -71,10 +90,11 @@
     bool exited = false;
     std::string exit_reason;
   };
-  struct DelayedHeartbeat {
+  struct DelayedMessage {
     double due_at;  // steady seconds
     std::string body;
   };
+  using TaskKey = std::pair<std::string, std::uint64_t>;  // name and attempt
   // A heartbeat to be sent, and the incarnation that sends it.
   struct Heartbeat {
     std::string body;
@@ -85,6 +105,7 @@
   void send_heartbeats(const std::stop_token& stop);
   void watch_lease(const std::stop_token& stop);
   void send_delayed_heartbeats(const std::stop_token& stop);
+  void deliver_delayed_commands(const std::stop_token& stop);
 
   HttpReply handle_call(const HttpCall& call);
   // Returns the next heartbeat if one is due now; otherwise one with an empty body.
@@ -97,14 +118,20 @@
 
   // The functions below are called with mutex_ held.
   HttpReply handle_commands(const HttpCall& call);
+  // Executes a call to `/commands` if its fencing token and incarnation are accepted; returns whether they were.
+  bool execute_call(const nlohmann::json& body);
+  void schedule_command_duplicates(const std::string& body);
   void execute(const nlohmann::json& commands);
-  void run_task(const std::string& name, std::uint64_t attempt, double now);
+  void run_task(const TaskKey& key, double now);
+  // Why the agent refuses to start the task, in the protocol's words; empty: it starts it.
+  [[nodiscard]] std::string refusal_of(const TaskKey& key, const std::optional<SubmittedJob>& spec) const;
   void kill_task(Task& task, double now);
   [[nodiscard]] double used_cores() const;
   std::string heartbeat_body();
   // Starts and completes the tasks that are due. If the lease has expired, removes all tasks and begins a new incarnation.
   void advance_to(double now);
   void remove_all_tasks(double now);
+  void begin_incarnation(double now);
 
   std::string name_, zone_, address_ = test_support::free_address();
   const std::vector<std::string>& controllers_;
@@ -112,19 +139,21 @@
   ProtocolTimes times_;
   std::mt19937 random_;
   std::mutex mutex_;
-  std::map<std::string, Task> tasks_;
+  std::map<TaskKey, Task> tasks_;
   std::uint64_t agent_incarnation_ = 1, serial_ = 0, fencing_token_ = 0;
-  double lease_expires_at_ = 0;                                  // steady seconds
-  std::atomic<double> hangs_until_{0}, loses_replies_until_{0};  // steady seconds
-  std::atomic<bool> duplicates_heartbeats_{false}, drops_commands_{false};
-  std::list<DelayedHeartbeat> duplicates_;
-  bool changed_ = false;  // since the last heartbeat
+  double lease_expires_at_ = 0;  // steady seconds
+  // Steady seconds; `interruption_at_`: 0 without a notice.
+  std::atomic<double> hangs_until_{0}, loses_replies_until_{0}, interruption_at_{0};
+  std::atomic<bool> duplicates_heartbeats_{false}, duplicates_commands_{false}, drops_commands_{false}, fails_tasks_{false};
+  std::list<DelayedMessage> duplicates_, command_duplicates_;
+  std::deque<std::string> executed_calls_;  // the bodies of the latest calls
+  bool changed_ = false;                    // since the last heartbeat
   bool terminated_ = false;
   // Used by the heartbeat thread only.
   std::size_t controller_ = 0;
   double next_heartbeat_at_ = 0, last_heartbeat_at_ = 0;  // steady seconds
   std::unique_ptr<HttpServer> server_;
-  std::jthread heartbeat_thread_, lease_thread_, duplicates_thread_;
+  std::jthread heartbeat_thread_, lease_thread_, duplicates_thread_, command_duplicates_thread_;
 };
 
 }  // namespace thistlefront::testbed
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -29,6 +29,14 @@
   EXPECT_EQ(first_broken_rule(), "");
   EXPECT_EQ(checker.completed_tasks(), 2u);
 }
+TEST_F(CheckerTest, ReportsAnAttemptThatIsStartedAgain) {
+  checker.record_attempt("j-1", 0, 1, "m-1", 102);
+  checker.record_attempt("j-1", 0, 2, "m-2", 103);
+  checker.record_attempt("j-1", 1, 1, "m-1", 104);
+  EXPECT_EQ(first_broken_rule(), "");
+  checker.record_attempt("j-1", 0, 1, "m-1", 105);
+  EXPECT_EQ(first_broken_rule(), "ran_again");
+}
 TEST_F(CheckerTest, ReportsATaskThatRunsOnTwoNodes) {
   checker.record_task_start("j-1", 0, "m-1", "x", 102);
   checker.record_task_start("j-1", 0, "m-2", "x", 104);
--- a/tests/safety_agents.cpp
+++ b/tests/safety_agents.cpp
@@ -1,11 +1,25 @@
 // The simulated agents, the network between them and the leaders, and the checks of the tasks that they run.
 #include <algorithm>
+#include <cmath>
 
 #include "heartbeat_builders.hpp"
 #include "safety_world.hpp"
 
 namespace thistlefront::safety {
 
+namespace {
+// "Messages may arrive minutes late" (protocol, "Delayed messages").
+constexpr double kMinCopyDelayS = 1, kMaxCopyDelayS = 120;
+constexpr double kCopiedCallShare = 0.5;
+
+// Whether the agent holds another attempt of the task, in whatever state, so that it refuses to start this one.
+template <class Tasks>
+bool holds_other_attempt(const Tasks& tasks, const typename Tasks::key_type& key) {
+  const auto first = tasks.lower_bound({std::get<0>(key), std::get<1>(key), 0});
+  return first != tasks.end() && std::get<0>(first->first) == std::get<0>(key) && std::get<1>(first->first) == std::get<1>(key);
+}
+}  // namespace
+
 Heartbeat Simulation::heartbeat_of(Agent& agent) {
   Heartbeat out = heartbeat_of_node(agent.name, agent.agent_incarnation, ++agent.serial, agent.fencing_token);
   out.zone = agent.zone;
@@ -125,6 +139,11 @@
   const auto key = std::tuple(command.id.uid, command.id.task, command.attempt);
   auto it = agent.tasks.find(key);
   if (command.type == CommandType::run && it == agent.tasks.end()) {
+    check_attempt(agent, command);
+    if (holds_other_attempt(agent.tasks, key)) {
+      agent.tasks[key] = {TaskPhase::exited, ExitReason::duplicate_attempt, 0};
+      return;
+    }
     ++task_starts;
     check_start(agent, command);
     agent.tasks[key] = {TaskPhase::running, ExitReason::none, now_ + uniform(0.5, 12)};
@@ -139,11 +158,14 @@
   }
 }
 
+void Simulation::check_attempt(const Agent& agent, const Command& command) {
+  if (started_attempts_.insert({command.id.uid, command.id.task, command.attempt}).second) return;
+  violations.push_back("ran_again: " + command.id.uid + "/" + std::to_string(command.id.task) + " attempt " +
+                       std::to_string(command.attempt) + " on " + agent.name + " at " + std::to_string(now_));
+}
+
 void Simulation::check_start(const Agent& agent, const Command& command) {
   const std::string task = command.id.uid + "/" + std::to_string(command.id.task);
-  if (!started_attempts_.insert({command.id.uid, command.id.task, command.attempt}).second)
-    violations.push_back("ran_again: " + task + " attempt " + std::to_string(command.attempt) + " on " + agent.name + " at " +
-                         std::to_string(now_));
   for (const auto& other : agents_)
     for (const auto& [key, p] : other.tasks)
       if (has_valid_lease(other) && std::get<0>(key) == command.id.uid && std::get<1>(key) == command.id.task &&
@@ -171,17 +193,42 @@
   }
 }
 
+bool Simulation::execute_call(Agent& agent, std::uint64_t fencing_token, std::uint64_t agent_incarnation,
+                              const std::vector<Command>& commands) {
+  if (fencing_token < agent.fencing_token || agent_incarnation != agent.agent_incarnation) return false;
+  agent.fencing_token = fencing_token;
+  execute(agent, commands);
+  return true;
+}
+
+void Simulation::schedule_command_copies(Agent& agent, std::uint64_t fencing_token, std::uint64_t agent_incarnation,
+                                         const std::vector<Command>& commands) {
+  if (!has_command_copies_ || std::uniform_real_distribution<double>(0, 1)(copy_random_) >= kCopiedCallShare) return;
+  const auto deliver = [this, &agent, fencing_token, agent_incarnation, commands] {
+    accepted_command_copies += execute_call(agent, fencing_token, agent_incarnation, commands);
+  };
+  // As many within the first seconds as within the last minute.
+  std::uniform_real_distribution<double> delay_exponent(std::log(kMinCopyDelayS), std::log(kMaxCopyDelayS));
+  for (auto copies = 1 + copy_random_() % 2; copies > 0; --copies) {
+    ++command_copies;
+    schedule(now_ + std::exp(delay_exponent(copy_random_)), [this, &agent, deliver] {
+      if (now_ < agent.hangs_until) {
+        agent.delayed_messages.push_back(deliver);
+      } else {
+        deliver();
+      }
+    });
+  }
+}
+
 void Simulation::send_commands(const std::string& name, std::uint64_t fencing_token, std::uint64_t agent_incarnation,
                                const std::vector<Command>& commands, bool includes_start) {
   Agent& agent = *std::find_if(agents_.begin(), agents_.end(), [&](Agent& x) { return x.name == name; });
   const auto takeover_token = leader_->takeover_token;
   auto is_resolved = std::make_shared<bool>(false);
   const auto deliver = [this, &agent, fencing_token, agent_incarnation, commands, takeover_token, is_resolved] {
-    const bool is_accepted = fencing_token >= agent.fencing_token && agent_incarnation == agent.agent_incarnation;
-    if (is_accepted) {
-      agent.fencing_token = fencing_token;
-      execute(agent, commands);
-    }
+    if (execute_call(agent, fencing_token, agent_incarnation, commands))
+      schedule_command_copies(agent, fencing_token, agent_incarnation, commands);
     const Heartbeat heartbeat = heartbeat_of(agent);
     if (is_message_dropped() || now_ < agent.sends_nothing_until || is_partitioned(agent)) return;
     schedule(now_ + message_delay_s(), [this, heartbeat, takeover_token, is_resolved] {
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -17,7 +17,7 @@
 TEST(Safety, NoRuleIsBrokenUnderRandomFaults) {
   std::size_t suspected_jobs = 0, unresponsive_nodes_found = 0, kills_by_deposed_leaders = 0;
   FaultPairCounts fault_pair_counts{};
-  for (std::uint64_t seed = 1; seed <= 240; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     Simulation simulation(seed);
     simulation.run_until(260);
     EXPECT_TRUE(simulation.violations.empty()) << "seed " << seed << ": " << simulation.violations.size() << " violations, first "
@@ -32,6 +32,7 @@
     EXPECT_TRUE(simulation.all_jobs_ended()) << "seed " << seed;
   }
   EXPECT_GT(kills_by_deposed_leaders, 10u);
+  std::cout << kills_by_deposed_leaders << " kills by deposed leaders\n";
   for (std::size_t a = 0; a < kFaultCount; ++a) {
     std::cout << kFaultNames[a] << ", then";
     for (std::size_t b = 0; b < kFaultCount; ++b) {
@@ -40,7 +41,7 @@
     }
     std::cout << "\n";
   }
-  EXPECT_GT(suspected_jobs, 240u) << "two jobs of each simulation always fail";
+  EXPECT_GT(suspected_jobs, 300u) << "two jobs of each simulation always fail";
   EXPECT_GT(unresponsive_nodes_found, 100u) << "detected from their heartbeats";
 }
 
@@ -81,6 +82,23 @@
   EXPECT_GT(idle_checks, 10000u);
 }
 
+// Calls that were executed and answered arrive once more. No attempt may be started by such a copy, whatever has become of it.
+TEST(Safety, CopiesOfAnsweredCommandsStartNoAttemptAgain) {
+  std::size_t command_copies = 0, accepted_command_copies = 0;
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    Simulation simulation(seed, Scenario::command_copies);
+    simulation.run_until(260);
+    EXPECT_TRUE(simulation.violations.empty()) << "seed " << seed << ": " << simulation.violations.size() << " violations, first "
+                                               << (simulation.violations.empty() ? "" : simulation.violations.front());
+    EXPECT_TRUE(simulation.all_jobs_ended()) << "seed " << seed << ":" << simulation.unfinished_jobs();
+    command_copies += simulation.command_copies;
+    accepted_command_copies += simulation.accepted_command_copies;
+  }
+  std::cout << command_copies << " copies of direct calls, " << accepted_command_copies << " accepted\n";
+  EXPECT_GT(command_copies, 2400u) << "twenty a day";
+  EXPECT_GT(accepted_command_copies, 240u) << "two a day";
+}
+
 // A zone is repeatedly partitioned from the leader, and the follower in it renews the agents' leases. No task may be requeued while it
 // still runs, and no task may run past its cancellation deadline.
 TEST(Safety, NoRuleIsBrokenWhenAFollowerRenewsLeasesDuringPartitions) {
--- a/tests/safety_world.cpp
+++ b/tests/safety_world.cpp
@@ -25,9 +25,11 @@
 
 Simulation::Simulation(std::uint64_t seed, Scenario scenario)
     : random_(seed),
+      copy_random_(seed),
       has_partitions_(scenario == Scenario::partitions),
       has_several_teams_(scenario == Scenario::changing_quotas || scenario == Scenario::exhausted_quotas),
-      has_exhausted_quotas_(scenario == Scenario::exhausted_quotas) {
+      has_exhausted_quotas_(scenario == Scenario::exhausted_quotas),
+      has_command_copies_(scenario == Scenario::command_copies) {
   for (const auto& [team, limit] : kInitialQuotaCores) quota_history_[team] = {{0, limit}};
   if (scenario == Scenario::changing_quotas)
     for (double t = 20; t < 150; t += 30) schedule(t, [this] { change_quotas(); });
--- a/tests/safety_world.hpp
+++ b/tests/safety_world.hpp
@@ -71,6 +71,7 @@
   partitions,        // one team, and network partitions of a zone
   changing_quotas,   // several teams whose quotas change
   exhausted_quotas,  // several teams whose quotas are used up
+  command_copies,    // one team, and copies of direct commands that were executed and answered
 };
 
 class Simulation {
@@ -92,6 +93,8 @@
   std::size_t gangs_checkpointed = 0;                // and stopped
   // Checks after the last fault that found a team with pending tasks, but no free resources for them.
   std::size_t idle_checks = 0;
+  // Copies of direct calls, and those of them whose fencing token and incarnation the agent accepted.
+  std::size_t command_copies = 0, accepted_command_copies = 0;
 
  private:
   struct AgentTask {
@@ -204,9 +207,16 @@
   std::optional<Reply> reply_to(const Agent& agent, const Heartbeat& heartbeat, bool to_deposed_leader);
   void send_commands(const std::string& name, std::uint64_t fencing_token, std::uint64_t agent_incarnation,
                      const std::vector<Command>& commands, bool includes_start);
+  // Executes the commands of a direct call if its token and incarnation are accepted; returns whether they were.
+  bool execute_call(Agent& agent, std::uint64_t fencing_token, std::uint64_t agent_incarnation, const std::vector<Command>& commands);
+  // Copies of an executed call arrive once more, up to minutes late; nobody waits for the answers.
+  void schedule_command_copies(Agent& agent, std::uint64_t fencing_token, std::uint64_t agent_incarnation,
+                               const std::vector<Command>& commands);
   void execute(Agent& agent, const std::vector<Command>& commands);
   void execute(Agent& agent, const Command& command);
-  // Checks that the attempt never ran before and that the task runs on no other node.
+  // Checks that no command to start this attempt was carried out before.
+  void check_attempt(const Agent& agent, const Command& command);
+  // Checks that the task runs on no other node.
   void check_start(const Agent& agent, const Command& command);
   void check_rules(Agent& agent);
   // The tasks of a hanging node end when its lease expires, although it can report that only later.
@@ -219,7 +229,8 @@
   bool is_message_dropped() { return uniform(0, 1) < 0.05 && now_ < fault_free_from_; }
 
   std::mt19937_64 random_;
-  bool has_partitions_, has_several_teams_, has_exhausted_quotas_;
+  std::mt19937_64 copy_random_;  // of command copies only, so that all else is the same with and without them
+  bool has_partitions_, has_several_teams_, has_exhausted_quotas_, has_command_copies_;
   double fault_free_from_ = 1e9;                                   // no message is lost or late from then on
   std::map<std::string, double> condition_since_;                  // conditions that must not persist
   std::map<std::string, std::map<double, double>> quota_history_;  // by team, then by the time at which the quota came into force
