--- a/testbed/fault_run.cpp
+++ b/testbed/fault_run.cpp
@@ -50,7 +50,7 @@
 }
 
 void FaultRun::duplicate_commands(bool duplicates) {
-  for (auto& worker : cluster.workers) worker->duplicate_commands(duplicates);
+  for (auto& worker : cluster.workers) worker->duplicate_commands(duplicates && options.command_copies);
 }
 
 void FaultRun::wait_between_events() {
--- a/testbed/fault_run.hpp
+++ b/testbed/fault_run.hpp
@@ -29,6 +29,7 @@
   double soak_s = 0;            // soak time before a format version is activated; 0: the build's default
   std::string relay_mode = kRelayOff;
   bool roll_back = false, verbose = false;
+  bool command_copies = true;  // false: for a newer build that starts attempts again by copies of answered commands
 };
 
 void wait(double seconds);
--- a/testbed/load_test/load_cluster.cpp
+++ b/testbed/load_test/load_cluster.cpp
@@ -55,7 +55,7 @@
   fleet.workers = options.workers;
   fleet.threads = options.threads;
   fleet.cores_per_node = kNodeCores;
-  fleet.timings = {options.heartbeat_interval_s, options.lease_s, options.cancel_s};
+  fleet.timings = {options.heartbeat_interval_s, options.lease_s};
   fleet.zones = kZones;
   fleet.controller_addresses = client_addresses_;
   fleet.seed = options.seed;
--- a/testbed/load_test/simulated_fleet.hpp
+++ b/testbed/load_test/simulated_fleet.hpp
@@ -19,7 +19,7 @@
 
 // Durations of the protocol. All but `image_pull_s` have the same values as in the controllers' settings.
 struct FleetTimings {
-  double heartbeat_interval_s = 3, lease_s = 22, cancel_s = 42, image_pull_s = 0.2;
+  double heartbeat_interval_s = 3, lease_s = 22, image_pull_s = 0.2;
 };
 
 // How the workers simulate a job's tasks.
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -34,6 +34,7 @@
   command.add_option("--intake", options.relay_mode, "heartbeat relay on the newer build")
       ->check(CLI::IsMember({kRelayOn, kRelayOff, kRelayDrawn}))
       ->capture_default_str();
+  command.add_flag("!--no-command-copies", options.command_copies, "deliver no copies of answered commands");
   command.add_flag("--verbose", options.verbose, "print each event");
 }
 
--- a/testbed/worker.cpp
+++ b/testbed/worker.cpp
@@ -21,17 +21,6 @@
 constexpr std::chrono::milliseconds kLostCommandDelay{1600};
 constexpr std::size_t kMaxExecutedCalls = 1000;                      // kept to be delivered once more
 constexpr double kMinDuplicateDelayS = 1, kMaxDuplicateDelayS = 60;  // of a call to `/commands`
-
-// The first duplicate that is due, removed from the list; empty: none is due.
-template <class Duplicates>
-std::string take_due(Duplicates& duplicates) {
-  const auto it =
-      std::find_if(duplicates.begin(), duplicates.end(), [](const auto& duplicate) { return duplicate.due_at <= steady_now(); });
-  if (it == duplicates.end()) return {};
-  std::string body = std::move(it->body);
-  duplicates.erase(it);
-  return body;
-}
 }  // namespace
 
 Worker::Worker(std::string name, std::string zone, const std::vector<std::string>& controllers, Checker& checker, ProtocolTimes times,
@@ -41,7 +30,7 @@
   server_ = std::make_unique<HttpServer>(address_, kServerConnections, [this](const HttpCall& call) { return handle_call(call); });
   heartbeat_thread_ = std::jthread([this](const std::stop_token& stop) { send_heartbeats(stop); });
   lease_thread_ = std::jthread([this](const std::stop_token& stop) { watch_lease(stop); });
-  duplicates_thread_ = std::jthread([this](const std::stop_token& stop) { send_delayed_heartbeats(stop); });
+  heartbeat_duplicates_thread_ = std::jthread([this](const std::stop_token& stop) { send_delayed_heartbeats(stop); });
   command_duplicates_thread_ = std::jthread([this](const std::stop_token& stop) { deliver_delayed_commands(stop); });
 }
 
@@ -66,7 +55,7 @@
     std::string body;
     {
       std::lock_guard lock(mutex_);
-      body = take_due(duplicates_);
+      body = heartbeat_duplicates_.take_due(steady_now());
     }
     if (body.empty()) continue;
     HttpClient(controllers_[random() % controllers_.size()]).post("/v1/report", body, 1);
@@ -79,7 +68,8 @@
     if (steady_now() < hangs_until_) continue;
     std::lock_guard lock(mutex_);
     advance_to(steady_now());
-    for (auto body = take_due(command_duplicates_); !body.empty(); body = take_due(command_duplicates_)) execute_call(json::parse(body));
+    for (auto body = command_duplicates_.take_due(steady_now()); !body.empty(); body = command_duplicates_.take_due(steady_now()))
+      execute_call(json::parse(body));
   }
 }
 
@@ -139,7 +129,7 @@
 }
 
 void Worker::schedule_duplicate(const std::string& body, double now) {
-  duplicates_.push_back({now + std::uniform_real_distribution<double>(1, 3 * times_.lease_s)(random_), body});
+  heartbeat_duplicates_.add(now + std::uniform_real_distribution<double>(1, 3 * times_.lease_s)(random_), body);
 }
 
 void Worker::apply_reply(const HttpResult& reply, std::uint64_t agent_incarnation, double sent_at) {
@@ -230,7 +220,7 @@
 
 void Worker::schedule_command_duplicates(const std::string& body) {
   std::uniform_real_distribution<double> delay_s(kMinDuplicateDelayS, kMaxDuplicateDelayS);
-  for (auto copies = 1 + random_() % 2; copies > 0; --copies) command_duplicates_.push_back({steady_now() + delay_s(random_), body});
+  for (auto copies = 1 + random_() % 2; copies > 0; --copies) command_duplicates_.add(steady_now() + delay_s(random_), body);
 }
 
 void Worker::execute(const json& commands) {
--- a/testbed/worker.hpp
+++ b/testbed/worker.hpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <atomic>
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,6 +17,7 @@
 #include <vector>
 
 #include "testbed/checker.hpp"
+#include "testbed/delayed_messages.hpp"
 #include "testbed/free_address.hpp"
 #include "transport/clock.hpp"
 #include "transport/http.hpp"
@@ -91,10 +91,6 @@
     bool exited = false;
     std::string exit_reason;
   };
-  struct DelayedMessage {
-    double due_at;  // steady seconds
-    std::string body;
-  };
   using TaskKey = std::pair<std::string, std::uint64_t>;  // name and attempt
   // A heartbeat to be sent, and the incarnation that sends it.
   struct Heartbeat {
@@ -146,7 +142,7 @@
   // Steady seconds; `interruption_at_`: 0 without a notice.
   std::atomic<double> hangs_until_{0}, loses_replies_until_{0}, interruption_at_{0};
   std::atomic<bool> duplicates_heartbeats_{false}, duplicates_commands_{false}, drops_commands_{false}, fails_tasks_{false};
-  std::list<DelayedMessage> duplicates_, command_duplicates_;
+  DelayedMessages heartbeat_duplicates_, command_duplicates_;
   std::deque<std::string> executed_calls_;  // the bodies of the latest calls
   bool changed_ = false;                    // since the last heartbeat
   bool terminated_ = false;
@@ -154,7 +150,7 @@
   std::size_t controller_ = 0;
   double next_heartbeat_at_ = 0, last_heartbeat_at_ = 0;  // steady seconds
   std::unique_ptr<HttpServer> server_;
-  std::jthread heartbeat_thread_, lease_thread_, duplicates_thread_, command_duplicates_thread_;
+  std::jthread heartbeat_thread_, lease_thread_, heartbeat_duplicates_thread_, command_duplicates_thread_;
 };
 
 }  // namespace thistlefront::testbed
--- a/tests/reconciliation_test.cpp
+++ b/tests/reconciliation_test.cpp
@@ -14,47 +14,14 @@
 #include "model/ledger_records.hpp"
 #include "model/task.hpp"
 #include "protocol/messages.hpp"
+#include "reconciliation_fixture.hpp"
 #include "worker_control/lease_renewal_policy.hpp"
 #include "worker_control/one_way_partition.hpp"
 
 namespace thistlefront {
 namespace {
 
-constexpr std::uint64_t kToken = 10;  // fencing token of the leader
-
-class Reconciliation : public testing::Test {
- protected:
-  Reconciliation() : cluster_state({{"red", {}, {}, {}}}) { cluster_state.apply(big_machine_type()); }
-  void accept(const std::string& uid, std::uint32_t tasks, JobType job_type = JobType::array) {
-    cluster_state.apply(accepted_job(uid, tasks, job_type));
-  }
-  void start(const std::string& uid, std::uint64_t attempt, TaskRange tasks, std::uint64_t agent_incarnation = 1) {
-    cluster_state.apply(TasksStartedRecord{uid, attempt, 0, {{"m-1", agent_incarnation, {tasks}}}});
-  }
-  HeartbeatOutcome heartbeat(std::vector<TaskReport> tasks, bool is_heartbeat = true, std::uint64_t fencing_token = kToken,
-                             std::uint64_t agent_incarnation = 1) {
-    const Heartbeat message = heartbeat_of_node("m-1", agent_incarnation, ++serial, fencing_token, std::move(tasks));
-    return apply_heartbeat(cluster_state, message, {steady_s, steady_s}, is_heartbeat, kToken);
-  }
-  void commit_records(const HeartbeatOutcome& outcome) {
-    for (const auto& record : outcome.records) cluster_state.apply(record);
-  }
-  Node& node() { return cluster_state.node(cluster_state.find_node("m-1")); }
-  std::vector<Command> commands(std::uint64_t current_token = kToken) {
-    return pending_commands(cluster_state, cluster_state.find_node("m-1"), {kToken, current_token});
-  }
-  // Sends the commands that are due directly; the agent replies.
-  void send_directly(std::uint64_t current_token) {
-    const auto due = commands(current_token);
-    record_direct_call(cluster_state, cluster_state.find_node("m-1"), current_token, due);
-    record_direct_call_end(node(), current_token, includes_start(due), false);
-  }
-  Job& job(const std::string& uid) { return cluster_state.job(cluster_state.find(uid)); }
-
-  ClusterState cluster_state;
-  std::uint64_t serial = 0;
-  double steady_s = 100;
-};
+class Reconciliation : public ReconciliationFixture {};
 
 TEST_F(Reconciliation, RepeatsAStartUntilTheAgentReportsTheTask) {
   accept("j-1", 1);
@@ -96,105 +63,6 @@
   EXPECT_EQ(commands()[0].type, CommandType::acknowledge_exit);
 }
 
-class EndedAttempt : public Reconciliation, public testing::WithParamInterface<ExitReason> {};
-
-TEST_P(EndedAttempt, IsAcknowledgedOnlyUnderAHigherTokenThanItsAnsweredDirectStart) {
-  accept("j-1", 1);
-  heartbeat({});
-  start("j-1", 1, {0, 1});
-  send_directly(kToken);
-  const std::vector<TaskReport> ended{task_report("j-1", 0, 1, TaskPhase::exited, GetParam())};
-  commit_records(heartbeat(ended, false));
-  heartbeat(ended);
-  EXPECT_TRUE(commands().empty()) << "a copy of the start would run the attempt again";
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken), TokenRaise::deferrable);
-  ASSERT_EQ(commands(kToken + 1).size(), 1u);
-  EXPECT_EQ(commands(kToken + 1)[0].type, CommandType::acknowledge_exit);
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken + 1), TokenRaise::none);
-  heartbeat({});
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken), TokenRaise::none);
-}
-INSTANTIATE_TEST_SUITE_P(Reasons, EndedAttempt,
-                         testing::Values(ExitReason::completed, ExitReason::stopped, ExitReason::gang_member_lost,
-                                         ExitReason::gang_incomplete, ExitReason::failed, ExitReason::insufficient_resources,
-                                         ExitReason::duplicate_attempt, ExitReason::unknown_task));
-
-TEST_F(Reconciliation, AcknowledgesTheExitOfACancelledJobOnlyUnderAHigherTokenThanItsDirectStart) {
-  accept("j-1", 1);
-  heartbeat({});
-  start("j-1", 1, {0, 1});
-  send_directly(kToken);
-  heartbeat({task_report("j-1", 0, 1, TaskPhase::running)});
-  cluster_state.apply(JobCancelledRecord{"j-1"});
-  send_directly(kToken);
-  commit_records(heartbeat({task_report("j-1", 0, 1, TaskPhase::exited, ExitReason::stopped)}));
-  EXPECT_TRUE(commands().empty());
-  ASSERT_EQ(commands(kToken + 1).size(), 1u);
-  EXPECT_EQ(commands(kToken + 1)[0].type, CommandType::acknowledge_exit);
-}
-
-TEST_F(Reconciliation, AcknowledgesAnExitAtOnceIfTheTokenWasRaisedWhileTheTaskRan) {
-  accept("j-1", 1);
-  accept("j-2", 1);
-  heartbeat({});
-  start("j-1", 1, {0, 1});
-  send_directly(kToken);
-  heartbeat({task_report("j-1", 0, 1, TaskPhase::running)});
-  start("j-2", 1, {0, 1});
-  send_directly(kToken + 1);
-  commit_records(heartbeat({task_report("j-1", 0, 1, TaskPhase::exited, ExitReason::completed),
-                            task_report("j-2", 0, 1, TaskPhase::exited, ExitReason::completed)}));
-  ASSERT_EQ(commands(kToken + 1).size(), 1u) << "the start of the other attempt was sent under this token";
-  EXPECT_EQ(commands(kToken + 1)[0].id.uid, "j-1");
-  EXPECT_EQ(commands(kToken + 2).size(), 2u);
-}
-
-TEST_F(Reconciliation, StartsATaskAgainOnlyWhenTheAgentNoLongerHoldsItsExitedAttempt) {
-  accept("j-1", 1);
-  heartbeat({});
-  start("j-1", 1, {0, 1});
-  send_directly(kToken);
-  commit_records(heartbeat({task_report("j-1", 0, 1, TaskPhase::exited, ExitReason::stopped)}));
-  start("j-1", 2, {0, 1});
-  EXPECT_TRUE(commands().empty()) << "the agent would refuse the start: it holds another attempt";
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken), TokenRaise::urgent);
-  const auto due = commands(kToken + 1);
-  ASSERT_EQ(due.size(), 2u);
-  EXPECT_EQ(due[0].type, CommandType::acknowledge_exit);
-  EXPECT_EQ(due[1].type, CommandType::run);
-  EXPECT_EQ(due[1].attempt, 2u);
-}
-
-TEST_F(Reconciliation, RaisesTheTokenSoonIfAnAgentReportsManyExits) {
-  constexpr std::uint32_t kTasks = 101;
-  accept("j-1", kTasks);
-  heartbeat({});
-  start("j-1", 1, {0, kTasks});
-  send_directly(kToken);
-  std::vector<TaskReport> ended;
-  for (std::uint32_t task = 0; task < kTasks; ++task)
-    ended.push_back(task_report("j-1", task, 1, TaskPhase::exited, ExitReason::completed));
-  const TaskReport last = ended.back();
-  ended.pop_back();
-  commit_records(heartbeat(ended));
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken), TokenRaise::deferrable);
-  ended.push_back(last);
-  commit_records(heartbeat(ended));
-  EXPECT_EQ(needed_token_raise(cluster_state, kToken), TokenRaise::urgent);
-}
-
-TEST_F(Reconciliation, FencesStartsOfAnAttemptThatIsNotPlacedAnyMore) {
-  accept("j-1", 1);
-  heartbeat({});
-  start("j-1", 1, {0, 1});
-  send_directly(kToken);
-  cluster_state.apply(TasksRemovedRecord{"j-1", 1, {{0, 1}}});
-  heartbeat({task_report("j-1", 0, 1, TaskPhase::running)});
-  heartbeat({task_report("j-1", 0, 1, TaskPhase::exited, ExitReason::stopped)});
-  EXPECT_TRUE(commands().empty());
-  EXPECT_EQ(commands(kToken + 1).size(), 1u);
-}
-
 TEST_F(Reconciliation, RemovesAnUnreportedStoppedTaskOnlyWhenNoStartCanBeInTransit) {
   accept("j-1", 1);
   heartbeat({});
