Heartbeats that repeat exited tasks are not looked up again

The reported task keeps its exit reason, so that a repeated heartbeat needs no look-up; the earlier report of an attempt is searched only if it is not placed.

--- a/src/cluster_state/job_state.hpp
+++ b/src/cluster_state/job_state.hpp
@@ -80,6 +80,7 @@
   std::uint64_t attempt = 0;
   TaskPhase phase = TaskPhase::pulling_image;
   std::string uid;  // only for tasks of unknown jobs
+  ExitReason exit_reason = ExitReason::none;
   // No direct command to start this attempt has a higher fencing token; copies of such commands may still arrive.
   std::uint64_t start_token = 0;
 };
--- a/src/worker_control/heartbeat_application.cpp
+++ b/src/worker_control/heartbeat_application.cpp
@@ -26,12 +26,12 @@
   return std::pair(heartbeat.agent_incarnation, heartbeat.serial) > std::pair(agent.incarnation, agent.serial);
 }
 
-// Whether `node.agent.tasks` already has the tasks of this heartbeat, so that they need not be looked up again. Exited tasks, and
-// tasks whose job was unknown at the last look-up, are always looked up again.
+// Whether `node.agent.tasks` already has the tasks of this heartbeat, so that they need not be looked up again. Tasks whose job was
+// unknown at the last look-up are always looked up again.
 bool repeats_last_message(const Heartbeat& heartbeat, const Node& node) {
   if (heartbeat.repeated_serial != node.agent.serial || node.agent.tasks.size() != heartbeat.tasks.size()) return false;
-  return std::none_of(node.agent.tasks.begin(), node.agent.tasks.end(),
-                      [](const ReportedTask& reported) { return reported.phase == TaskPhase::exited || !reported.ref.job.valid(); });
+  return std::all_of(node.agent.tasks.begin(), node.agent.tasks.end(),
+                     [](const ReportedTask& reported) { return reported.ref.job.valid(); });
 }
 
 // Applies one message to the state of its node.
@@ -57,7 +57,7 @@
     clear_fenced_starts();
     if (repeats_tasks) {
       // The reported tasks are unchanged. Their placements may have changed through ledger records.
-      for (const ReportedTask& reported : node_.agent.tasks) update_placement(reported, ExitReason::none);
+      for (const ReportedTask& reported : node_.agent.tasks) update_placement(reported);
     } else {
       replace_reported_tasks();
     }
@@ -133,15 +133,16 @@
       reported.ref = {cluster_state_.find(task_report.id.uid), task_report.id.task};
       reported.attempt = task_report.attempt;
       reported.phase = task_report.phase;
+      reported.exit_reason = task_report.exit_reason;
       if (!reported.ref.job.valid()) reported.uid = task_report.id.uid;
-      const ReportedTask* earlier = find_reported_task(previous, reported.ref, reported.attempt);
-      const Placement* placement = update_placement(reported, task_report.exit_reason);
-      reported.start_token = start_token_of(reported, placement, earlier);
+      if (const Placement* placement = update_placement(reported)) {
+        reported.start_token = placement->start_token;
+      } else {
+        apply_unplaced_task(reported, task_report.id, find_reported_task(previous, reported.ref, reported.attempt));
+      }
       if (reported.phase == TaskPhase::exited) {
         ++node_.agent.exited_tasks;
         node_.agent.exited_start_token = std::max(node_.agent.exited_start_token, reported.start_token);
-      } else if (!placement && !earlier) {
-        unplaced_.push_back({task_report.id, reported.attempt});
       }
       reported_tasks.push_back(std::move(reported));
     }
@@ -149,13 +150,14 @@
   }
 
   // An attempt that is not placed any more keeps what was known before. Any direct start may have been one of an unknown attempt.
-  [[nodiscard]] std::uint64_t start_token_of(const ReportedTask& reported, const Placement* placement, const ReportedTask* earlier) const {
-    if (placement) return placement->start_token;
-    return earlier && reported.ref.job.valid() ? earlier->start_token : node_.commands.start_token;
+  // `earlier`: the attempt in the previous message, or null.
+  void apply_unplaced_task(ReportedTask& reported, const TaskId& id, const ReportedTask* earlier) {
+    reported.start_token = earlier && reported.ref.job.valid() ? earlier->start_token : node_.commands.start_token;
+    if (!earlier && reported.phase != TaskPhase::exited) unplaced_.push_back({id, reported.attempt});
   }
 
   // Returns the placement of this attempt on the node; null if the cluster state has none.
-  const Placement* update_placement(const ReportedTask& reported, ExitReason exit_reason) {
+  const Placement* update_placement(const ReportedTask& reported) {
     Placement* placement = cluster_state_.placement(reported.ref);
     if (!is_placement_of(placement, node_index_, heartbeat_.agent_incarnation, reported.attempt)) return nullptr;
     placement->reported = true;
@@ -165,7 +167,7 @@
       if (phase_changed && placement->running_since == 0) placement->running_since = now_.wall_s;
       record_healthy_replica(reported.ref, *placement);
     }
-    if (reported.phase == TaskPhase::exited && !placement->removal_pending) apply_exit(reported.ref, *placement, exit_reason);
+    if (reported.phase == TaskPhase::exited && !placement->removal_pending) apply_exit(reported.ref, *placement, reported.exit_reason);
     return placement;
   }
 
