Tests with real controllers: copies of executed commands reach every worker

The fixture's workers deliver copies of answered calls, by seed, in all of its suites; the worker of new_instances_test and late_copies_test is made in one place.

--- a/tests/cluster_fixture.hpp
+++ b/tests/cluster_fixture.hpp
@@ -36,13 +36,17 @@
           }
         },
         cloud);
-    for (std::size_t i = 0; i < node_count; ++i)
-      workers.push_back(std::make_unique<testbed::Worker>("m-" + std::to_string(i), "x", cluster->client_addresses, checker, times,
-                                                          static_cast<unsigned>(7 + i)));
+    for (std::size_t i = 0; i < node_count; ++i) add_worker(static_cast<unsigned>(7 + i));
     checker_thread = std::jthread([this](const std::stop_token& stop) {
       while (pause_for(stop, 0.02)) checker.check_deadlines(steady_now());
     });
   }
+  // Starts the worker of one more node, at which copies of executed commands arrive.
+  void add_worker(unsigned seed) {
+    workers.push_back(
+        std::make_unique<testbed::Worker>("m-" + std::to_string(workers.size()), "x", cluster->client_addresses, checker, times, seed));
+    workers.back()->duplicate_commands(true);
+  }
   void TearDown() override {
     checker_thread = {};
     if (cluster) cluster->store.set_outage(false);
--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -27,10 +27,6 @@
  protected:
   LateCopies() : ClusterFixture(kTimes) {}
 
-  void add_worker(unsigned seed) {
-    workers.push_back(
-        std::make_unique<testbed::Worker>("m-" + std::to_string(workers.size()), "x", cluster->client_addresses, checker, times, seed));
-  }
   // Starts the tasks of the job on the first node and ends these attempts there.
   void end_attempts_on_first_node(AttemptEnd end) {
     if (end == AttemptEnd::failed) workers.front()->fail_tasks(true);
--- a/tests/new_instances_test.cpp
+++ b/tests/new_instances_test.cpp
@@ -52,8 +52,7 @@
     json nodes = json::array();
     for (unsigned k = 0; k < body.at("count").get<unsigned>() && requested_at_by_name.size() < kMaxInstances; ++k) {
       const auto name = "m-" + std::to_string(workers.size());
-      workers.push_back(std::make_unique<testbed::Worker>(name, "x", cluster->client_addresses, checker, times,
-                                                          static_cast<unsigned>(70 + workers.size())));
+      add_worker(static_cast<unsigned>(70 + workers.size()));
       requested_at_by_name[name] = now;
       nodes.push_back(name);
     }
