Submissions that lack a required field are refused; stored ones stay readable

Cause: parse_job_spec read both submissions and the ledger. Stored descriptions omit fields that have their default value, so the parser gave them one, and users got the same.

Change: parse_submitted_job_spec requires each field that can't be null; parse_stored_job_spec keeps the defaults. Stored bytes are unchanged.

--- a/src/controller/request_handler.cpp
+++ b/src/controller/request_handler.cpp
@@ -125,6 +125,7 @@
 
 HttpReply RequestHandler::reject(unsigned status, std::string_view reason) {
   ++metrics_.counters.refused;
+  spdlog::debug("submission: refused with {}: {}", status, reason);
   return error_reply(status, reason);
 }
 
--- a/src/protocol/job_spec_json.cpp
+++ b/src/protocol/job_spec_json.cpp
@@ -54,6 +54,27 @@
   return depends_on;
 }
 
+// Reads the fields that both forms always contain, and those that may be null in both. The order of these statements decides which of
+// several invalid fields is reported.
+JobSpec parse_fields_of_both_forms(const json& object) {
+  JobSpec spec;
+  spec.uid = read_uid(object);
+  spec.job_class = read_text(object, "jobClass");
+  spec.owner = read_text(object, "owner");
+  spec.job_type = as_enum(require_member(object, "shape"), "shape", kJobTypeNames);
+  spec.priority = as_enum(require_member(object, "rank"), "rank", kPriorityNames);
+  spec.task_count = read_task_count(object);
+  spec.demand.cores = read_amount(object, "cores");
+  spec.demand.ram_gb = read_amount(object, "ramGb");
+  spec.image = read_text(object, "bundle");
+  spec.image_gb = read_amount(object, "pullGb");
+  spec.machine_types = read_machine_types(object);
+  if (const json* zone = find_member(object, "yard")) spec.zone = as_text(*zone, "yard");
+  if (const json* deadline = find_member(object, "dueS")) spec.deadline_s = as_amount(*deadline, "dueS");
+  spec.depends_on = read_dependencies(object);
+  return spec;
+}
+
 }  // namespace
 
 bool is_uid(std::string_view uid) {
@@ -63,7 +84,7 @@
   return true;
 }
 
-json job_spec_json(const JobSpec& spec) {
+json stored_job_spec_json(const JobSpec& spec) {
   json object = {{"uid", spec.uid},
                  {"jobClass", spec.job_class},
                  {"owner", spec.owner},
@@ -88,28 +109,28 @@
   return object;
 }
 
-// The order of these statements decides which of several invalid fields is reported.
-JobSpec parse_job_spec(const json& object) {
-  JobSpec spec;
-  spec.uid = read_uid(object);
-  spec.job_class = read_text(object, "jobClass");
-  spec.owner = read_text(object, "owner");
-  spec.job_type = as_enum(require_member(object, "shape"), "shape", kJobTypeNames);
-  spec.priority = as_enum(require_member(object, "rank"), "rank", kPriorityNames);
-  spec.task_count = read_task_count(object);
-  spec.demand = {read_amount(object, "cores"), read_amount_or(object, "accelerators", 0), read_amount(object, "ramGb")};
-  spec.image = read_text(object, "bundle");
-  spec.image_gb = read_amount(object, "pullGb");
-  spec.machine_types = read_machine_types(object);
-  if (const json* zone = find_member(object, "yard")) spec.zone = as_text(*zone, "yard");
+JobSpec parse_stored_job_spec(const json& object) {
+  JobSpec spec = parse_fields_of_both_forms(object);
+  spec.demand.accelerators = read_amount_or(object, "accelerators", 0);
   spec.single_zone = read_flag_or(object, "oneZone", false);
   spec.spread = read_flag_or(object, "spread", false);
   spec.allows_spot = read_flag_or(object, "loaners", false);
   spec.estimated_run_s = read_amount_or(object, "expectedS", 0);
   spec.checkpoint_interval_s = read_amount_or(object, "snapshotEveryS", 0);
   spec.checkpoint_duration_s = read_amount_or(object, "snapshotS", 0);
-  if (const json* deadline = find_member(object, "dueS")) spec.deadline_s = as_amount(*deadline, "dueS");
-  spec.depends_on = read_dependencies(object);
+  return spec;
+}
+
+JobSpec parse_submitted_job_spec(const json& object) {
+  JobSpec spec = parse_fields_of_both_forms(object);
+  spec.demand.accelerators = read_amount(object, "accelerators");
+  spec.single_zone = read_flag(object, "oneZone");
+  spec.spread = read_flag(object, "spread");
+  spec.allows_spot = read_flag(object, "loaners");
+  spec.estimated_run_s = read_amount(object, "expectedS");
+  spec.checkpoint_interval_s = read_amount(object, "snapshotEveryS");
+  spec.checkpoint_duration_s = read_amount(object, "snapshotS");
+  if (object.contains("waitsOn")) require_member(object, "waitsOn");  // may be omitted, but not null
   return spec;
 }
 
--- a/src/protocol/json_fields.cpp
+++ b/src/protocol/json_fields.cpp
@@ -85,11 +85,14 @@
   return as_count(require_member(object, field), field);
 }
 
+bool read_flag(const json& object, const char* field) {
+  const json& value = require_member(object, field);
+  if (!value.is_boolean()) fail_field(field, "not true or false");
+  return value.get<bool>();
+}
+
 bool read_flag_or(const json& object, const char* field, bool default_value) {
-  const json* value = find_member(object, field);
-  if (!value) return default_value;
-  if (!value->is_boolean()) fail_field(field, "not true or false");
-  return value->get<bool>();
+  return find_member(object, field) ? read_flag(object, field) : default_value;
 }
 
 const json& read_list(const json& object, const char* field) {
--- a/src/protocol/json_fields.hpp
+++ b/src/protocol/json_fields.hpp
@@ -73,6 +73,8 @@
 double read_amount_or(const nlohmann::json& object, const char* field, double default_value);
 /// A required whole number that is not negative.
 std::uint64_t read_count(const nlohmann::json& object, const char* field);
+/// A required boolean.
+bool read_flag(const nlohmann::json& object, const char* field);
 /// An optional boolean.
 bool read_flag_or(const nlohmann::json& object, const char* field, bool default_value);
 /// A required array.
--- a/src/protocol/ledger_record_json.cpp
+++ b/src/protocol/ledger_record_json.cpp
@@ -31,7 +31,7 @@
 }
 
 json accept_json(const JobAcceptedRecord& record) {
-  return {job_spec_json(record.job), record.random_draw, record.accepted_at};
+  return {stored_job_spec_json(record.job), record.random_draw, record.accepted_at};
 }
 
 // Null if there is no quota. Memory has no quota.
@@ -135,7 +135,7 @@
 }
 
 JobAcceptedRecord parse_accept(const json& items) {
-  return {parse_job_spec(items.at(0)), items.at(1).get<double>(), items.at(2).get<double>()};
+  return {parse_stored_job_spec(items.at(0)), items.at(1).get<double>(), items.at(2).get<double>()};
 }
 
 std::optional<TeamQuota> parse_quota(const json& items) {
--- a/src/protocol/user_messages.cpp
+++ b/src/protocol/user_messages.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 JobSpec parse_submission(std::string_view body) {
-  return parse_job_spec(parse_object(body));
+  return parse_submitted_job_spec(parse_object(body));
 }
 
 std::string extract_uid(std::string_view body) {
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -18,9 +18,10 @@
 namespace {
 
 nlohmann::json valid_submission() {
-  return {{"uid", "j-000412"}, {"jobClass", "train"}, {"owner", "vision"}, {"shape", "group"}, {"rank", "high"},
-          {"pieces", 16},      {"cores", 8.0},        {"accelerators", 1}, {"ramGb", 64.0},    {"bundle", "img"},
-          {"pullGb", 6.2},     {"hostKinds", {"g8"}}, {"yard", nullptr},   {"oneZone", true},  {"expectedS", 240.0}};
+  return {{"uid", "j-000412"}, {"jobClass", "train"}, {"owner", "vision"}, {"shape", "group"},   {"rank", "high"},
+          {"pieces", 16},      {"cores", 8.0},        {"accelerators", 1}, {"ramGb", 64.0},      {"bundle", "img"},
+          {"pullGb", 6.2},     {"hostKinds", {"g8"}}, {"yard", nullptr},   {"oneZone", true},    {"spread", false},
+          {"loaners", false},  {"expectedS", 240.0},  {"snapshotS", 0},    {"snapshotEveryS", 0}};
 }
 
 std::string rejection_of(const nlohmann::json& submission) {
@@ -32,7 +33,7 @@
   }
 }
 
-TEST(JobSpec, UnknownFieldsAreIgnoredAndNullFieldsCountAsMissing) {
+TEST(JobSpec, UnknownFieldsAreIgnoredAndNullFieldsCountAsOmitted) {
   auto j = valid_submission();
   j["later"] = {1, 2};
   j["dueS"] = nullptr;
@@ -100,7 +101,7 @@
 }
 
 TEST(Heartbeats, MalformedHeartbeatsAreRejected) {
-  const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","tenure":1,"serial":2,"epoch":3,)";
+  const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","loaners":false,"tenure":1,"serial":2,"epoch":3,)";
   const auto r = parse_heartbeat(head + R"("recallS":null,"pieces":[{"piece":"j-1/3","try":2,"status":"running"}]})");
   EXPECT_EQ(r.tasks.at(0).id.task, 3u);
   for (const char* rest :
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -149,8 +149,11 @@
     R"("cores":8.0,"accelerators":1.0,"ramGb":64.0,"bundle":"img-07","pullGb":6.2,)"
     R"("hostKinds":["g8","g16"],"yard":"a","oneZone":true,"spread":true,"loaners":true,)"
     R"("expectedS":240.0,"snapshotEveryS":30.0,"snapshotS":4.0,"dueS":900.0,"waitsOn":["j-000410","j-000411"]})";
-const std::string kMinimalSubmission = R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
-                                       R"("cores":0.5,"ramGb":1,"bundle":"img","pullGb":0})";
+// Without the fields that may be omitted.
+const std::string kMinimalSubmission =
+    R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
+    R"("cores":0.5,"accelerators":0,"ramGb":1,"bundle":"img","pullGb":0,"oneZone":false,"spread":false,"loaners":false,)"
+    R"("expectedS":0,"snapshotEveryS":0,"snapshotS":0})";
 
 std::string submission_error(const std::string& body) {
   return error_message_of([&] { parse_submission(body); });
@@ -206,37 +209,31 @@
   EXPECT_TRUE(spec.depends_on.empty());
 }
 
-std::string submission_with(const std::string& field) {
-  return replaced(kMinimalSubmission, R"("pullGb":0)", R"("pullGb":0,)" + field);
+// `flag`: a field that is true instead of false.
+std::string submission_with(const std::string& flag) {
+  return replaced(kMinimalSubmission, "\"" + flag + "\":false", "\"" + flag + "\":true");
 }
 
 TEST(WireFormatUsers, ParsesEachFlagOfASubmissionIndependently) {
-  const auto single_zone = parse_submission(submission_with(R"("oneZone":true)"));
+  const auto single_zone = parse_submission(submission_with("oneZone"));
   EXPECT_TRUE(single_zone.single_zone);
   EXPECT_FALSE(single_zone.spread);
   EXPECT_FALSE(single_zone.allows_spot);
-  const auto spread = parse_submission(submission_with(R"("spread":true)"));
+  const auto spread = parse_submission(submission_with("spread"));
   EXPECT_FALSE(spread.single_zone);
   EXPECT_TRUE(spread.spread);
   EXPECT_FALSE(spread.allows_spot);
-  const auto allows_spot = parse_submission(submission_with(R"("loaners":true)"));
+  const auto allows_spot = parse_submission(submission_with("loaners"));
   EXPECT_FALSE(allows_spot.single_zone);
   EXPECT_FALSE(allows_spot.spread);
   EXPECT_TRUE(allows_spot.allows_spot);
 }
 
 TEST(WireFormatUsers, TreatsNullFieldsOfASubmissionAsOmitted) {
-  const std::string nulls =
-      R"(,"accelerators":null,"hostKinds":null,"yard":null,"oneZone":null,"spread":null,"loaners":null,"expectedS":null,)"
-      R"("snapshotEveryS":null,"snapshotS":null,"dueS":null,"waitsOn":null})";
-  const auto spec = parse_submission(without(kMinimalSubmission, "}") + nulls);
+  const auto spec = parse_submission(without(kMinimalSubmission, "}") + R"(,"hostKinds":null,"yard":null,"dueS":null})");
   EXPECT_TRUE(spec.machine_types.empty());
   EXPECT_EQ(spec.zone, "");
-  EXPECT_FALSE(spec.single_zone);
-  EXPECT_FALSE(spec.spread);
-  EXPECT_FALSE(spec.allows_spot);
   EXPECT_EQ(spec.deadline_s, std::nullopt);
-  EXPECT_TRUE(spec.depends_on.empty());
 }
 
 TEST(WireFormatUsers, ParsesNamesOfJobTypes) {
@@ -268,7 +265,13 @@
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("cores":0.5,)")), "cores: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("ramGb":1,)")), "ramGb: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("bundle":"img",)")), "bundle: missing");
-  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"(,"pullGb":0)")), "pullGb: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("pullGb":0,)")), "pullGb: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("oneZone":false,)")), "oneZone: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("spread":false,)")), "spread: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("loaners":false,)")), "loaners: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("expectedS":0,)")), "expectedS: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("snapshotEveryS":0,)")), "snapshotEveryS: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"(,"snapshotS":0)")), "snapshotS: missing");
 }
 
 TEST(WireFormatUsers, ErrorNamesTheInvalidFieldOfASubmissionAndTheReason) {
@@ -290,6 +293,7 @@
   EXPECT_EQ(with(R"("hostKinds":["g8","g16"])", R"("hostKinds":"g8")"), "hostKinds: not a list");
   EXPECT_EQ(with(R"("hostKinds":["g8","g16"])", R"("hostKinds":[])"), "hostKinds: empty");
   EXPECT_EQ(with(R"("oneZone":true)", R"("oneZone":1)"), "oneZone: not true or false");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("accelerators":0,)")), "accelerators: missing");
   EXPECT_EQ(with(R"("dueS":900.0)", R"("dueS":-1)"), "dueS: negative");
   EXPECT_EQ(with(R"("waitsOn":["j-000410","j-000411"])", R"("waitsOn":"j-1")"), "waitsOn: not a list");
   EXPECT_EQ(with(R"("waitsOn":["j-000410","j-000411"])", R"("waitsOn":["k-1"])"), "waitsOn: not a job's id");
@@ -1051,11 +1055,11 @@
           R"("shape":"group","snapshotEveryS":30.0,"snapshotS":4.0,"spread":true,"uid":"j-000412","waitsOn":["j-000410",)"
           R"("j-000411"],"yard":"a"},0.25,12.5]])"),
       record_sample(job_accepted_record(minimal_job()), R"(["accept",)" + kAcceptOfMinimalJob + "]"),
-      record_sample(job_accepted_record(parse_submission(submission_with(R"("oneZone":true)"))),
+      record_sample(job_accepted_record(parse_submission(submission_with("oneZone"))),
                     R"(["accept",)" + replaced(kAcceptOfMinimalJob, R"("owner")", R"("oneZone":true,"owner")") + "]"),
-      record_sample(job_accepted_record(parse_submission(submission_with(R"("spread":true)"))),
+      record_sample(job_accepted_record(parse_submission(submission_with("spread"))),
                     R"(["accept",)" + replaced(kAcceptOfMinimalJob, R"("uid")", R"("spread":true,"uid")") + "]"),
-      record_sample(job_accepted_record(parse_submission(submission_with(R"("loaners":true)"))),
+      record_sample(job_accepted_record(parse_submission(submission_with("loaners"))),
                     R"(["accept",)" + replaced(kAcceptOfMinimalJob, R"("owner")", R"("loaners":true,"owner")") + "]"),
       record_sample(tasks_started_record(), R"(["start","j-1",5,13.0,[["m-1",3,[0,4,6,7]],["m-2",1,[4,6]]]])"),
       record_sample(tasks_completed_record(0), R"(["done","j-1",[0,1,3,9]])"),
@@ -1341,6 +1345,48 @@
   EXPECT_TRUE(record.has_more);
   EXPECT_TRUE(record.suspect);
   EXPECT_EQ(record.eligible_since, 14.5);
+// A description that lacks what a submission must contain.
+const std::string kStoredJobWithoutDefaults = R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
+                                              R"("cores":0.5,"ramGb":1,"bundle":"img","pullGb":0})";
+
+void expect_default_values(const JobSpec& spec) {
+  EXPECT_EQ(spec.uid, "j-1");
+  EXPECT_EQ(spec.job_class, "c");
+  EXPECT_EQ(spec.owner, "red");
+  EXPECT_EQ(spec.job_type, JobType::array);
+  EXPECT_EQ(spec.priority, Priority::idle);
+  EXPECT_EQ(spec.task_count, 1u);
+  EXPECT_EQ(spec.demand, resources(0.5, 0, 1));
+  EXPECT_EQ(spec.image, "img");
+  EXPECT_EQ(spec.image_gb, 0);
+  EXPECT_TRUE(spec.machine_types.empty());
+  EXPECT_EQ(spec.zone, "");
+  EXPECT_FALSE(spec.single_zone);
+  EXPECT_FALSE(spec.spread);
+  EXPECT_FALSE(spec.allows_spot);
+  EXPECT_EQ(spec.estimated_run_s, 0);
+  EXPECT_EQ(spec.checkpoint_interval_s, 0);
+  EXPECT_EQ(spec.checkpoint_duration_s, 0);
+  EXPECT_EQ(spec.deadline_s, std::nullopt);
+  EXPECT_TRUE(spec.depends_on.empty());
+}
+
+// Descriptions are stored permanently, so what a submission may not omit must still be read.
+TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredJob) {
+  EXPECT_NE(submission_error(kStoredJobWithoutDefaults), "no error");
+  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + kStoredJobWithoutDefaults + ",0.25,12.5]]").job);
+  const std::string snapshot = R"(["job",[)" + kStoredJobWithoutDefaults + R"(,0.25,12.5],"queued",2,[],[]])";
+  expect_default_values(parse_record_text<JobSnapshotRecord>(snapshot).accepted.job);
+}
+
+TEST(WireFormatLedger, TreatsNullFieldsOfAStoredJobAsOmitted) {
+  const std::string nulls =
+      R"(,"accelerators":null,"hostKinds":null,"yard":null,"oneZone":null,"spread":null,"loaners":null,"expectedS":null,)"
+      R"("snapshotEveryS":null,"snapshotS":null,"dueS":null,"waitsOn":null})";
+  const auto stored_job = without(kStoredJobWithoutDefaults, "}") + nulls;
+  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + stored_job + ",0.25,12.5]]").job);
+}
+
 }
 
 TEST(WireFormatLedger, ParsesEachFlagOfAJobSnapshotRecordIndependently) {
