Lists of the cloud that lack a required field are refused

What it hid: a machine type without accelerators made jobs that need them unfit (422, which is final); without its price it cost nothing; without yards it was offered in every zone. An instance without loaners counted as an ordinary one, without heldS as new in each list; a list without truncated was taken for whole.

Cause: as for submissions, one parser read the cloud's list and the ledger's records. Now parse_offered_machine_type requires each field, parse_stored_machine_type keeps the defaults. Only an instance that is not running may lack its address; one of the wrong kind is refused.

Seen: WireFormatCloud.RefusesAMachineTypeThatLacksAField, RefusesAListOfInstancesThatLacksAField and OnlyARunningInstanceMustHaveAnAddress failed before.

--- a/src/protocol/cloud_messages.cpp
+++ b/src/protocol/cloud_messages.cpp
@@ -15,17 +15,25 @@
 constexpr EnumName<Instance::Status> kInstanceStatusNames[] = {
     {"booting", Instance::Status::booting}, {"running", Instance::Status::running}, {"failed", Instance::Status::failed}};
 
+// Empty if the instance has no address yet. Only a running instance must have the field.
+std::string read_address(const json& object, Instance::Status status) {
+  const json* address = find_member(object, "address");
+  if (!address && status != Instance::Status::running) return {};
+  if (!address) fail_field("address", "missing");
+  if (!address->is_string()) fail_field("address", "not a string");
+  return address->get<std::string>();
+}
+
 Instance parse_instance(const json& object) {
   if (!object.is_object()) fail_field("hosts", "not objects");
   Instance instance;
   instance.name = read_text(object, "uid");
-  // A booting instance may not have an address yet.
-  if (const json* address = find_member(object, "address"); address && address->is_string()) instance.address = address->get<std::string>();
   instance.machine_type = read_text(object, "hostKind");
   instance.zone = read_text(object, "yard");
-  instance.spot = read_flag_or(object, "loaners", false);
+  instance.spot = read_flag(object, "loaners");
   instance.status = as_enum(require_member(object, "status"), "status", kInstanceStatusNames);
-  instance.age_s = read_amount_or(object, "heldS", 0);
+  instance.age_s = read_amount(object, "heldS");
+  instance.address = read_address(object, instance.status);
   return instance;
 }
 
@@ -40,15 +48,15 @@
 std::vector<MachineType> parse_machine_types(std::string_view body) {
   const json object = parse_object(body);
   std::vector<MachineType> machine_types;
-  for (const auto& machine_type : read_list(object, "hostKinds")) machine_types.push_back(parse_machine_type(machine_type));
+  for (const auto& machine_type : read_list(object, "hostKinds")) machine_types.push_back(parse_offered_machine_type(machine_type));
   return machine_types;
 }
 
 InstancePage parse_instances(std::string_view body) {
   const json object = parse_object(body);
   InstancePage page;
-  page.truncated = read_flag_or(object, "truncated", false);
   for (const auto& instance : read_list(object, "hosts")) page.instances.push_back(parse_instance(instance));
+  page.truncated = read_flag(object, "truncated");
   return page;
 }
 
--- a/src/protocol/ledger_record_json.cpp
+++ b/src/protocol/ledger_record_json.cpp
@@ -63,7 +63,7 @@
   json operator()(const JobCancelledRecord& record) const { return {"cancel", record.uid}; }
   json operator()(const MachineTypesRecord& record) const {
     json machine_types = json::array();
-    for (const auto& machine_type : record.machine_types) machine_types.push_back(machine_type_json(machine_type));
+    for (const auto& machine_type : record.machine_types) machine_types.push_back(stored_machine_type_json(machine_type));
     return {"flavors", std::move(machine_types)};
   }
   json operator()(const JobSnapshotRecord& record) const {
@@ -173,7 +173,7 @@
 
 Record parse_machine_types_record(const RecordItems& items) {
   MachineTypesRecord record;
-  for (const auto& machine_type : items.at(1)) record.machine_types.push_back(parse_machine_type(machine_type));
+  for (const auto& machine_type : items.at(1)) record.machine_types.push_back(parse_stored_machine_type(machine_type));
   return record;
 }
 
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -10,12 +10,14 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "json_variants.hpp"
 #include "ledger/ledger_writer.hpp"
 #include "model/command.hpp"
 #include "model/job.hpp"
@@ -64,6 +66,28 @@
   return replaced(std::move(text), part, "");
 }
 
+// Removes each field of an object in `body` in turn, makes it null, and gives it values of other kinds. `parse` must refuse each result
+// with an error that names the field. `object`: JSON pointer to the object; `exempt`: fields that are left as they are.
+template <class Parse>
+void expect_fields_required(const std::string& body, const std::string& object, const std::set<std::string>& exempt, Parse parse) {
+  using nlohmann::json;
+  const json message = json::parse(body);
+  EXPECT_EQ(error_message_of([&] { parse(message.dump()); }), "no error");
+  const json::json_pointer at(object);
+  for (const auto& [field, value] : message.at(at).items()) {
+    if (exempt.contains(field)) continue;
+    json changed = message;
+    changed.at(at).erase(field);
+    EXPECT_EQ(error_message_of([&] { parse(changed.dump()); }), field + ": missing");
+    changed.at(at)[field] = nullptr;
+    EXPECT_EQ(error_message_of([&] { parse(changed.dump()); }), field + ": missing");
+    for (const auto& other : test_support::values_of_other_kinds(value)) {
+      changed.at(at)[field] = other;
+      EXPECT_TRUE(error_message_of([&] { parse(changed.dump()); }).starts_with(field + ": not ")) << changed;
+    }
+  }
+}
+
 std::string hex_of(std::string_view bytes) {
   constexpr std::string_view digits = "0123456789abcdef";
   std::string out;
@@ -522,9 +546,7 @@
 }
 
 TEST(WireFormatCloud, ParsesEachFieldOfAMachineType) {
-  const auto machine_types =
-      parse_machine_types(R"({"hostKinds":[{"sku":"g8","cores":96,"accelerators":8,"ramGb":768,"cacheGb":200,"fetchGbPerS":1.0,)"
-                          R"("price":12.0,"marketPrice":4.5,"bootS":45,"yards":["a","b"]}]})");
+  const auto machine_types = parse_machine_types(kMachineTypeList);
   ASSERT_EQ(machine_types.size(), 1u);
   EXPECT_EQ(machine_types[0].name, "g8");
   EXPECT_EQ(machine_types[0].capacity.cores, 96);
@@ -533,19 +555,18 @@
   EXPECT_EQ(machine_types[0].image_cache_gb, 200);
   EXPECT_EQ(machine_types[0].image_fetch_gb_per_s, 1);
   EXPECT_EQ(machine_types[0].price, 12);
+const std::string kMachineTypeList = R"({"hostKinds":[{"sku":"g8","cores":96,"accelerators":8,"ramGb":768,"cacheGb":200,"fetchGbPerS":1.0,)"
+                                     R"("price":12.0,"marketPrice":4.5,"bootS":45,"yards":["a","b"]}]})";
+
   EXPECT_EQ(machine_types[0].spot_price, 4.5);
   EXPECT_EQ(machine_types[0].boot_s, 45);
   EXPECT_EQ(machine_types[0].zones, (std::vector<std::string>{"a", "b"}));
 }
 
-TEST(WireFormatCloud, DefaultsOmittedFieldsOfAMachineType) {
-  const auto machine_type = parse_machine_types(R"({"hostKinds":[{"sku":"c4","cores":4,"ramGb":16,"price":2}]})").at(0);
-  EXPECT_EQ(machine_type.capacity.accelerators, 0);
-  EXPECT_EQ(machine_type.image_cache_gb, 0);
-  EXPECT_EQ(machine_type.image_fetch_gb_per_s, 0);
-  EXPECT_EQ(machine_type.spot_price, 2);
-  EXPECT_EQ(machine_type.boot_s, 60);
-  EXPECT_TRUE(machine_type.zones.empty());
+// Guards against final refusals (422) of jobs that could run, and against instances taken for free: a machine type without the number
+// of its accelerators or its price was offered with 0 of them.
+TEST(WireFormatCloud, RefusesAMachineTypeThatLacksAField) {
+  expect_fields_required(kMachineTypeList, "/hostKinds/0", {}, [](const std::string& body) { parse_machine_types(body); });
 }
 
 TEST(WireFormatCloud, ErrorNamesTheInvalidFieldOfAMachineType) {
@@ -562,12 +583,13 @@
   const auto page = parse_instances(
       R"({"hosts":[{"uid":"m-000231","address":"10.1.0.232:9000","hostKind":"g8","yard":"a","loaners":true,"status":"running",)"
       R"("heldS":61.5},)"
-      R"({"uid":"m-000232","hostKind":"c4","yard":"b","status":"booting"},)"
+      R"({"uid":"m-000232","hostKind":"c4","yard":"b","loaners":false,"status":"booting","heldS":0},)"
       R"({"uid":"m-000233","address":null,"hostKind":"c4","yard":"b","loaners":false,"status":"failed","heldS":3}],)"
       R"("truncated":true})");
   EXPECT_TRUE(page.truncated);
   ASSERT_EQ(page.instances.size(), 3u);
   EXPECT_EQ(page.instances[0].name, "m-000231");
+  EXPECT_EQ(error(replaced(kMachineTypeList, R"(["a","b"])", "[7]")), "yards: not a string");
   EXPECT_EQ(page.instances[0].address, "10.1.0.232:9000");
   EXPECT_EQ(page.instances[0].machine_type, "g8");
   EXPECT_EQ(page.instances[0].zone, "a");
@@ -585,7 +607,28 @@
 
 TEST(WireFormatCloud, LastPageOfInstancesIsNotTruncated) {
   EXPECT_FALSE(parse_instances(R"({"hosts":[],"truncated":false})").truncated);
-  EXPECT_FALSE(parse_instances(R"({"hosts":[]})").truncated);
+}
+
+const std::string kInstanceList =
+    R"({"hosts":[{"uid":"m-000231","address":"10.1.0.232:9000","hostKind":"g8","yard":"a","loaners":true,"status":"running",)"
+    R"("heldS":61.5}],"truncated":true})";
+
+// Guards against spot instances taken for ordinary ones, instances that never seem late to boot, and the rest of a list that is never
+// read: an omitted field was read as false or 0.
+TEST(WireFormatCloud, RefusesAListOfInstancesThatLacksAField) {
+  const auto parse = [](const std::string& body) { parse_instances(body); };
+  expect_fields_required(kInstanceList, "/hosts/0", {}, parse);
+  expect_fields_required(kInstanceList, "", {}, parse);
+}
+
+TEST(WireFormatCloud, OnlyARunningInstanceMustHaveAnAddress) {
+  const auto with_status = [](const std::string& status) { return replaced(kInstanceList, R"("running")", "\"" + status + "\""); };
+  for (const auto* status : {"booting", "failed"}) {
+    const auto list = without(with_status(status), R"("address":"10.1.0.232:9000",)");
+    EXPECT_EQ(parse_instances(list).instances.at(0).address, "") << status;
+    const auto wrong_kind = replaced(with_status(status), R"("10.1.0.232:9000")", "7");
+    EXPECT_EQ(error_message_of([&] { parse_instances(wrong_kind); }), "address: not a string") << status;
+  }
 }
 
 TEST(WireFormatCloud, ErrorNamesTheInvalidFieldOfAnInstance) {
@@ -595,8 +638,8 @@
   EXPECT_EQ(error(R"({"hosts":[{"hostKind":"c4","yard":"b","status":"running"}]})"), "uid: missing");
   EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","yard":"b","status":"running"}]})"), "hostKind: missing");
   EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","hostKind":"c4","status":"running"}]})"), "yard: missing");
-  EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","hostKind":"c4","yard":"b"}]})"), "status: missing");
-  EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","hostKind":"c4","yard":"b","status":"odd"}]})"), "status: not a known value");
+  EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","hostKind":"c4","yard":"b","loaners":false}]})"), "status: missing");
+  EXPECT_EQ(error(R"({"hosts":[{"uid":"m-1","hostKind":"c4","yard":"b","loaners":false,"status":"odd"}]})"), "status: not a known value");
 }
 
 TEST(WireFormatCloud, EncodesRentRequest) {
@@ -1391,6 +1434,18 @@
 
 TEST(WireFormatLedger, ParsesEachFlagOfAJobSnapshotRecordIndependently) {
   EXPECT_TRUE(encode_and_parse<JobSnapshotRecord>(split_job_record()).has_more);
+// Whatever any build has stored remains readable, also what the cloud's list may not omit.
+TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredMachineType) {
+  const auto record = parse_record_text<MachineTypesRecord>(R"(["flavors",[{"sku":"c4","cores":4,"ramGb":16,"price":2}]])");
+  const MachineType& machine_type = record.machine_types.at(0);
+  EXPECT_EQ(machine_type.capacity, resources(4, 0, 16));
+  EXPECT_EQ(machine_type.image_cache_gb, 0);
+  EXPECT_EQ(machine_type.image_fetch_gb_per_s, 0);
+  EXPECT_EQ(machine_type.spot_price, 2);
+  EXPECT_EQ(machine_type.boot_s, 60);
+  EXPECT_TRUE(machine_type.zones.empty());
+}
+
   EXPECT_FALSE(encode_and_parse<JobSnapshotRecord>(split_job_record()).suspect);
   EXPECT_FALSE(encode_and_parse<JobSnapshotRecord>(suspect_job_record()).has_more);
   EXPECT_TRUE(encode_and_parse<JobSnapshotRecord>(suspect_job_record()).suspect);
