Pages of the key-value store that lack a required field are refused

What it hid: a page without truncated was taken for the last one, so the rest of the ledger, and the accepted jobs in it, stayed unread. Without ledgerRev or stamp, changes since the page and the revision to condition writes on were 0.

Tests that read stored entries build their rows in one place now (stored_row), with all fields.

--- a/src/protocol/ledger_format.cpp
+++ b/src/protocol/ledger_format.cpp
@@ -57,7 +57,7 @@
 EntryPage::Row parse_entry_row(const json& object) {
   EntryPage::Row row;
   row.key = read_text(object, "path");
-  if (const json* mod_revision = find_member(object, "stamp")) row.mod_revision = as_count(*mod_revision, "stamp");
+  row.mod_revision = read_count(object, "stamp");
   try {
     const json& value = require_member(object, "value");
     if (!value.is_object()) fail_field("value", "not an object");
@@ -104,9 +104,8 @@
 EntryPage parse_entries(std::string_view body) {
   const json object = parse_object(body);
   EntryPage page;
-  // If the page has no revision, changes since it was read cannot be detected.
-  if (const json* revision = find_member(object, "ledgerRev")) page.revision = as_count(*revision, "ledgerRev");
-  page.truncated = read_flag_or(object, "truncated", false);
+  page.revision = read_count(object, "ledgerRev");
+  page.truncated = read_flag(object, "truncated");
   for (const auto& row : read_list(object, "rows")) page.rows.push_back(parse_entry_row(row));
   return page;
 }
--- a/src/protocol/store_messages.cpp
+++ b/src/protocol/store_messages.cpp
@@ -100,7 +100,7 @@
 Rows parse_rows(std::string_view body) {
   const json object = parse_object(body);
   Rows page;
-  page.truncated = read_flag_or(object, "truncated", false);
+  page.truncated = read_flag(object, "truncated");
   page.revision = read_count(object, "ledgerRev");
   for (const auto& row : read_list(object, "rows")) page.rows.push_back(row_from(row));
   return page;
--- a/tests/in_memory_ledger.hpp
+++ b/tests/in_memory_ledger.hpp
@@ -79,16 +79,12 @@
   ClusterState read(LedgerWriter& new_writer, std::uint32_t format_version) const {
     ClusterState cluster_state = empty_cluster_state(max_record_bytes(limits_.value_bytes));
     LedgerReader reader(cluster_state, 1, 4);
-    for (const auto& [key, value] : entries) EXPECT_TRUE(reader.add_entry(row(key, value, mod_revisions_.at(key)))) << reader.error();
+    for (const auto& [key, value] : entries)
+      EXPECT_TRUE(reader.add_entry(stored_row(key, value, mod_revisions_.at(key)))) << reader.error();
     EXPECT_TRUE(reader.finish()) << reader.error();
     new_writer = LedgerWriter(std::move(reader).contents(), format_version);
     return cluster_state;
   }
-  static EntryPage::Row row(const std::string& key, const std::string& value, std::uint64_t mod_revision) {
-    const auto page =
-        parse_entries(R"({"rows":[{"path":")" + key + R"(","stamp":)" + std::to_string(mod_revision) + R"(,"value":)" + value + "}]}");
-    return page.rows.at(0);
-  }
 
   LedgerWriter ledger_writer;
   std::map<std::string, std::string> entries;
--- a/tests/job_builders.hpp
+++ b/tests/job_builders.hpp
@@ -51,4 +51,11 @@
   return entry_value(head, text, digest);
 }
 
+// The row of a stored entry, as a reader of the ledger gets it from the key-value store.
+inline EntryPage::Row stored_row(const std::string& key, const std::string& value, std::uint64_t mod_revision) {
+  const auto revision = std::to_string(mod_revision);
+  const auto row = R"({"path":")" + key + R"(","stamp":)" + revision + R"(,"value":)" + value + "}";
+  return parse_entries(R"({"rows":[)" + row + R"(],"truncated":false,"ledgerRev":)" + revision + "}").rows.at(0);
+}
+
 }  // namespace thistlefront
--- a/tests/short_jobs_test.cpp
+++ b/tests/short_jobs_test.cpp
@@ -134,7 +134,7 @@
   ClusterState restored({Team{"red", {}, {1e6, 0, 0}, {}}}, max_record_bytes(1843));
   LedgerReader reader(restored, 1, 4);
   for (const auto& [key, value] : load.entries) {
-    ASSERT_TRUE(reader.add_entry(InMemoryLedger::row(key, value, load.mod_revisions[key]))) << reader.error();
+    ASSERT_TRUE(reader.add_entry(stored_row(key, value, load.mod_revisions[key]))) << reader.error();
   }
   ASSERT_TRUE(reader.finish()) << reader.error();
   expect_same_state(restored, load.cluster_state, 5);
--- a/tests/stored_test.cpp
+++ b/tests/stored_test.cpp
@@ -156,8 +156,7 @@
     ClusterState cluster_state = cluster_state_with_core_limit(10);
     LedgerReader reader(cluster_state, 1, 2);
     for (const auto& [n, value] : entries) {
-      const auto page = parse_entries(R"({"rows":[{"path":")" + entry_key(n) + R"(","value":)" + value + "}]}");
-      if (!reader.add_entry(page.rows.at(0))) return reader.error();
+      if (!reader.add_entry(stored_row(entry_key(n), value, 1))) return reader.error();
     }
     return reader.finish() ? std::string() : reader.error();
   };
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -754,9 +754,19 @@
   EXPECT_EQ(rows.rows[1].value, R"("t")");
   EXPECT_EQ(rows.rows[1].mod_revision, 431u);
   EXPECT_EQ(rows.rows[1].session_lease, 7u);
-  EXPECT_FALSE(parse_rows(R"({"rows":[],"ledgerRev":433})").truncated);
-  EXPECT_EQ(error_message_of([] { parse_rows(R"({"rows":[]})"); }), "ledgerRev: missing");
-  EXPECT_EQ(error_message_of([] { parse_rows(R"({"ledgerRev":433})"); }), "rows: missing");
+  EXPECT_FALSE(parse_rows(R"({"rows":[],"truncated":false,"ledgerRev":433})").truncated);
+}
+
+// Guards against accepted jobs that are forgotten: a page without `truncated` was taken for the last one.
+TEST(WireFormatStore, RefusesAPageThatLacksAField) {
+  const std::string page = R"({"rows":[{"path":"ledger/000000000001","value":{"seq":7,"records":[]},"stamp":430}],)"
+                           R"("truncated":false,"ledgerRev":433})";
+  const auto parse_as_rows = [](const std::string& body) { parse_rows(body); };
+  const auto parse_as_entries = [](const std::string& body) { parse_entries(body); };
+  expect_fields_required(page, "", {}, parse_as_rows);
+  expect_fields_required(page, "", {}, parse_as_entries);
+  expect_fields_required(page, "/rows/0", {"value"}, parse_as_rows);     // a value may be of any kind
+  expect_fields_required(page, "/rows/0", {"value"}, parse_as_entries);  // the error of a value is kept with its row
 }
 
 TEST(WireFormatStore, WatchReplyShowsWhetherAnythingChanged) {
