Heartbeats without loaners are refused; an exit without a cause is a failure

What it hid: a spot node whose heartbeat lacked loaners counted as an ordinary one, so tasks of jobs that don't allow spot nodes could start there. An exited task without a cause was neither completed nor failed: it was restarted without end, and nothing was attributed to its node or job.

Seen: WireFormatWorkers.ErrorNamesTheFieldMissingInAHeartbeat and TreatsAnExitWithoutAReasonAsAFailure failed before.

--- a/src/protocol/heartbeat_parser.cpp
+++ b/src/protocol/heartbeat_parser.cpp
@@ -103,7 +103,7 @@
 
   // Required fields that were present.
   struct HeartbeatFields {
-    bool agent_incarnation = false, serial = false, fencing_token = false, tasks = false;
+    bool spot = false, agent_incarnation = false, serial = false, fencing_token = false, tasks = false;
   };
   struct TaskFields {
     bool id = false, attempt = false, phase = false;
@@ -138,6 +138,8 @@
   if (!task_fields_present_.id) fail_field("piece", "missing");
   if (!task_fields_present_.attempt) fail_field("try", "missing");
   if (!task_fields_present_.phase) fail_field("status", "missing");
+  // An exit without a reason is treated like one whose reason is not known.
+  if (task_.phase == TaskPhase::exited && task_.exit_reason == ExitReason::none) task_.exit_reason = ExitReason::failed;
   heartbeat_.tasks.push_back(std::move(task_));
   return true;
 }
@@ -171,6 +173,7 @@
   if (heartbeat_.address.empty()) fail_field("address", "missing");
   if (heartbeat_.machine_type.empty()) fail_field("hostKind", "missing");
   if (heartbeat_.zone.empty()) fail_field("yard", "missing");
+  if (!heartbeat_fields_present_.spot) fail_field("loaners", "missing");
   if (!heartbeat_fields_present_.agent_incarnation) fail_field("tenure", "missing");
   if (!heartbeat_fields_present_.serial) fail_field("serial", "missing");
   if (!heartbeat_fields_present_.fencing_token) fail_field("epoch", "missing");
@@ -203,6 +206,7 @@
     heartbeat_.zone = as_text(value, "yard");
   } else if (key_ == "loaners") {
     heartbeat_.spot = as_flag(value, "loaners");
+    heartbeat_fields_present_.spot = true;
   } else if (key_ == "tenure") {
     heartbeat_.agent_incarnation = as_count(value, "tenure");
     heartbeat_fields_present_.agent_incarnation = true;
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -428,8 +428,8 @@
 }
 
 TEST(WireFormatWorkers, DefaultsOmittedFieldsOfAHeartbeat) {
-  const auto heartbeat =
-      parse_heartbeat(R"({"host":"m","address":"a","hostKind":"k","yard":"z","tenure":1,"serial":2,"epoch":0,"pieces":[]})");
+  const auto heartbeat = parse_heartbeat(
+      R"({"host":"m","address":"a","hostKind":"k","yard":"z","loaners":false,"tenure":1,"serial":2,"epoch":0,"pieces":[]})");
   EXPECT_FALSE(heartbeat.spot);
   EXPECT_EQ(heartbeat.interruption_in_s, std::nullopt);
   EXPECT_EQ(heartbeat.fencing_token, 0u);
@@ -473,11 +473,23 @@
   EXPECT_EQ(parsed_exit_reason("of a later version"), ExitReason::failed);
 }
 
+// Guards against a failing task that is restarted without end: an exit without a reason counted neither as completed nor as failed.
+TEST(WireFormatWorkers, TreatsAnExitWithoutAReasonAsAFailure) {
+  const auto exit_reason_with = [](std::string_view cause) {
+    return parse_heartbeat(replaced(kFullHeartbeat, R"(,"cause":"halted")", cause)).tasks.at(1).exit_reason;
+  };
+  EXPECT_EQ(exit_reason_with(""), ExitReason::failed);
+  EXPECT_EQ(exit_reason_with(R"(,"cause":null)"), ExitReason::failed);
+  EXPECT_EQ(exit_reason_with(R"(,"cause":7)"), ExitReason::failed);
+}
+
 TEST(WireFormatWorkers, ErrorNamesTheFieldMissingInAHeartbeat) {
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("host":"m-000231",)")), "host: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("address":"10.1.0.232:9000",)")), "address: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("hostKind":"g8",)")), "hostKind: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("yard":"a",)")), "yard: missing");
+  EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("loaners":true,)")), "loaners: missing");
+  EXPECT_EQ(heartbeat_error(replaced(kFullHeartbeat, R"("loaners":true)", R"("loaners":null)")), "loaners: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("tenure":1,)")), "tenure: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("serial":88,)")), "serial: missing");
   EXPECT_EQ(heartbeat_error(without(kFullHeartbeat, R"("epoch":41,)")), "epoch: missing");
@@ -504,7 +516,7 @@
   EXPECT_EQ(with(R"("try":2)", R"("try":-2)"), "try: not a count");
   EXPECT_EQ(with(R"("status":"running")", R"("status":"odd")"), "status: not a known value");
   EXPECT_EQ(with(R"("kept":true)", R"("kept":"yes")"), "kept: not true or false");
-  const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","tenure":1,"serial":2,"epoch":0,)";
+  const std::string head = R"({"host":"m","address":"a","hostKind":"k","yard":"z","loaners":false,"tenure":1,"serial":2,"epoch":0,)";
   EXPECT_EQ(heartbeat_error(head + R"("pieces":3})"), "pieces: not a list");
   EXPECT_EQ(heartbeat_error(head + R"("pieces":[3]})"), "pieces: not objects");
 }
