Settings: a majority counts controllers that peers lacks; required fields are checked

What it hid: QuorumTracker counted the entries of peers alone. Without skew_ms acceptances were ordered as if clocks agreed; without teams each job got 422, which is final; an objective of kind wait or finished without its class or time was ignored or had 0 s.

Now count, skew_ms and teams are required, objectives that limit a delay need class and within_s, and a majority is one of Settings::other_controllers() + 1.

Seen: Leadership.LeaderThatLacksPeersInItsSettingsHasNoQuorum (real controller), WireFormatSettings.ErrorNamesTheMissingFieldAndItsTable and ErrorNamesTheMissingTable failed before. The test of omitted settings asserted the defaults of count, skew_ms and objectives, as the code had them; it now asserts what may be omitted.

--- a/src/controller/leader_election.cpp
+++ b/src/controller/leader_election.cpp
@@ -177,7 +177,7 @@
   term->active_version = snapshot.active;
   term->taken_over_at = steady_now();
   term->session_lease_valid_until = session_lease_valid_until(lease.requested_at);
-  term->quorum = QuorumTracker(shared_.peers.size(), term->taken_over_at, quorum_grace_s(settings.cancel_s, settings.lease_s));
+  term->quorum = QuorumTracker(settings.other_controllers(), term->taken_over_at, quorum_grace_s(settings.cancel_s, settings.lease_s));
   return term;
 }
 
--- a/src/controller/registry_view.cpp
+++ b/src/controller/registry_view.cpp
@@ -21,7 +21,7 @@
       pools_(std::move(pools)) {
   controller_labels_.push_back(settings.label);
   for (const auto& peer : settings.peers) controller_labels_.push_back(peer.label);
-  while (controller_labels_.size() < settings.controller_count)
+  while (controller_labels_.size() <= settings.other_controllers())
     controller_labels_.push_back("unnamed-" + std::to_string(controller_labels_.size()));
 }
 
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -62,6 +62,10 @@
     if (!found) fail(field, "not a table");
     return {file_, *found, prefix_ + field + "."};
   }
+  std::vector<TableReader> required_tables(const char* field) const {
+    if (!has(field)) fail(field, "missing");
+    return tables(field);
+  }
   std::vector<TableReader> tables(const char* field) const {
     std::vector<TableReader> out;
     const auto* found = table_.get(field);
@@ -130,21 +134,16 @@
           {team.number_or("cpus_max", 0, 0, kMaxAmount), team.number_or("gpus_max", 0, 0, kMaxAmount), 0}};
 }
 
-// The class of an objective; empty if it is missing or not a string.
-std::string job_class_or_empty(const TableReader& table) {
-  try {
-    return table.text("class");
-  } catch (const SettingsError&) {
-    return {};
-  }
-}
-
+// Only the kinds that delays of jobs are compared with need all of their fields. Other kinds, also ones that this build does not know,
+// may omit them.
 Settings::Objective read_objective(const TableReader& table) {
   Settings::Objective objective;
   objective.kind = table.text("kind");
-  objective.within_s = table.number_or("within_s", 0, 0, kMaxAmount);
+  const bool limits_delay = objective.kind == "wait" || objective.kind == "finished";
+  if (limits_delay || table.has("within_s")) objective.within_s = table.number("within_s", 0, kMaxAmount);
   objective.fraction = table.number_or("share", 0, 0, 1);
-  if (objective.kind != "guarantee") objective.job_class = job_class_or_empty(table);
+  if (objective.kind == "guarantee") return objective;
+  if (limits_delay || table.has("class")) objective.job_class = table.text("class");
   return objective;
 }
 
@@ -188,9 +187,9 @@
 }
 
 void read_deployment(const TableReader& deployment, Settings& settings) {
-  settings.max_clock_skew_ms = deployment.number_or("skew_ms", 0, 0, kDaySeconds * 1000);
-  settings.controller_count = static_cast<std::size_t>(deployment.number_or("count", 0, 0, kMaxControllers));
-  for (const auto& team : deployment.tables("teams")) settings.teams.push_back(read_team(team));
+  settings.max_clock_skew_ms = deployment.number("skew_ms", 0, kDaySeconds * 1000);
+  settings.controller_count = static_cast<std::size_t>(deployment.number("count", 0, kMaxControllers));
+  for (const auto& team : deployment.required_tables("teams")) settings.teams.push_back(read_team(team));
   for (const auto& objective : deployment.tables("objectives")) settings.objectives.push_back(read_objective(objective));
   read_workers(deployment.table("workers"), settings);
   read_store(deployment.table("state"), settings);
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -1,5 +1,6 @@
 // The controller's settings file (TOML), read once at start. The platform defines its format, so field names must not change.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <stdexcept>
@@ -44,7 +45,7 @@
   std::string label, site;                 ///< of this controller; its site is its zone
   std::string client_listen, peer_listen;  ///< listen addresses: `client_listen` for users and agents, `peer_listen` for other controllers
   std::vector<Peer> peers;
-  std::size_t controller_count = 0;  ///< controllers of the deployment; 0: only this one and `peers`
+  std::size_t controller_count = 0;  ///< controllers of the deployment, this one and those that `peers` lacks included
   std::string cloud_address, store_address;
   double max_clock_skew_ms = 0;  ///< maximum difference between wall clocks in the deployment
   std::vector<Team> teams;
@@ -61,6 +62,9 @@
   double list_lag_s = 0;          ///< maximum delay before the cloud's list of instances shows a change
   double cpu = 0, memory_mb = 0;  ///< limits of this process; `cpu` in processor cores
   std::uint64_t max_sockets = 0;  ///< limit of this process
+
+  /// Number of the deployment's other controllers: a majority is one of all of them, also of those that `peers` lacks.
+  [[nodiscard]] std::size_t other_controllers() const { return std::max(peers.size() + 1, controller_count) - 1; }
 };
 
 /// Reads and validates a settings file; throws SettingsError for the first invalid field.
--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -147,6 +147,21 @@
   EXPECT_TRUE(c.submit_until("j-2", 20));
 }
 
+// Guards against leases that a deposed leader renews without end: a leader whose settings lack its peers took itself for a majority.
+TEST(Leadership, LeaderThatLacksPeersInItsSettingsHasNoQuorum) {
+  const auto omit_peers = [](std::vector<Settings>& settings) { settings.at(0).controller_count = 3; };
+  Cluster c(1, 1, {test_support::fixed_version_options()}, omit_peers);
+  ASSERT_TRUE(c.submit_until("j-1", 20));
+  std::uint64_t serial = 0;
+  const auto renews_lease = [&] {
+    return c.ask(0, "POST", "/v1/report", test_support::heartbeat_body("m-1", "127.0.0.1:1", ++serial, c.store.fencing_token())).is(200);
+  };
+  ASSERT_TRUE(c.eventually(10, renews_lease));
+  c.store.endpoint(0).rejects_requests = true;
+  c.store.expire_session_leases();
+  EXPECT_TRUE(c.eventually(10, [&] { return !renews_lease(); })) << "it has no majority and may not be the leader any more";
+}
+
 // A process that ended leaves its leader key until its session lease expires (here never). The next process with the same label knows that
 // the earlier one has ended and removes the key, so that another controller leads. It does not remove a key with another label.
 TEST(Leadership, RemovesOnlyLeaderKeyOfOwnEarlierProcess) {
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -287,6 +287,7 @@
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("rank":"idle",)")), "rank: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("pieces":1,)")), "pieces: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("cores":0.5,)")), "cores: missing");
+  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("accelerators":0,)")), "accelerators: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("ramGb":1,)")), "ramGb: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("bundle":"img",)")), "bundle: missing");
   EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("pullGb":0,)")), "pullGb: missing");
@@ -317,7 +318,6 @@
   EXPECT_EQ(with(R"("hostKinds":["g8","g16"])", R"("hostKinds":"g8")"), "hostKinds: not a list");
   EXPECT_EQ(with(R"("hostKinds":["g8","g16"])", R"("hostKinds":[])"), "hostKinds: empty");
   EXPECT_EQ(with(R"("oneZone":true)", R"("oneZone":1)"), "oneZone: not true or false");
-  EXPECT_EQ(submission_error(without(kMinimalSubmission, R"("accelerators":0,)")), "accelerators: missing");
   EXPECT_EQ(with(R"("dueS":900.0)", R"("dueS":-1)"), "dueS: negative");
   EXPECT_EQ(with(R"("waitsOn":["j-000410","j-000411"])", R"("waitsOn":"j-1")"), "waitsOn: not a list");
   EXPECT_EQ(with(R"("waitsOn":["j-000410","j-000411"])", R"("waitsOn":["k-1"])"), "waitsOn: not a job's id");
@@ -557,6 +557,9 @@
   EXPECT_EQ(instances_path("m-000230", 20), "/rentals?page=20&from=m-000230");
 }
 
+const std::string kMachineTypeList = R"({"hostKinds":[{"sku":"g8","cores":96,"accelerators":8,"ramGb":768,"cacheGb":200,"fetchGbPerS":1.0,)"
+                                     R"("price":12.0,"marketPrice":4.5,"bootS":45,"yards":["a","b"]}]})";
+
 TEST(WireFormatCloud, ParsesEachFieldOfAMachineType) {
   const auto machine_types = parse_machine_types(kMachineTypeList);
   ASSERT_EQ(machine_types.size(), 1u);
@@ -567,9 +570,6 @@
   EXPECT_EQ(machine_types[0].image_cache_gb, 200);
   EXPECT_EQ(machine_types[0].image_fetch_gb_per_s, 1);
   EXPECT_EQ(machine_types[0].price, 12);
-const std::string kMachineTypeList = R"({"hostKinds":[{"sku":"g8","cores":96,"accelerators":8,"ramGb":768,"cacheGb":200,"fetchGbPerS":1.0,)"
-                                     R"("price":12.0,"marketPrice":4.5,"bootS":45,"yards":["a","b"]}]})";
-
   EXPECT_EQ(machine_types[0].spot_price, 4.5);
   EXPECT_EQ(machine_types[0].boot_s, 45);
   EXPECT_EQ(machine_types[0].zones, (std::vector<std::string>{"a", "b"}));
@@ -589,6 +589,7 @@
   EXPECT_EQ(error(R"({"hostKinds":[{"cores":4,"ramGb":16}]})"), "sku: missing");
   EXPECT_EQ(error(R"({"hostKinds":[{"sku":"c4","ramGb":16}]})"), "cores: missing");
   EXPECT_EQ(error(R"({"hostKinds":[{"sku":"c4","cores":4}]})"), "ramGb: missing");
+  EXPECT_EQ(error(replaced(kMachineTypeList, R"(["a","b"])", "[7]")), "yards: not a string");
 }
 
 TEST(WireFormatCloud, ParsesEachFieldOfAnInstance) {
@@ -601,7 +602,6 @@
   EXPECT_TRUE(page.truncated);
   ASSERT_EQ(page.instances.size(), 3u);
   EXPECT_EQ(page.instances[0].name, "m-000231");
-  EXPECT_EQ(error(replaced(kMachineTypeList, R"(["a","b"])", "[7]")), "yards: not a string");
   EXPECT_EQ(page.instances[0].address, "10.1.0.232:9000");
   EXPECT_EQ(page.instances[0].machine_type, "g8");
   EXPECT_EQ(page.instances[0].zone, "a");
@@ -1345,6 +1345,48 @@
   EXPECT_EQ(record.job.depends_on, (std::vector<std::string>{"j-000410", "j-000411"}));
 }
 
+// A description that lacks what a submission must contain.
+const std::string kStoredJobWithoutDefaults = R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
+                                              R"("cores":0.5,"ramGb":1,"bundle":"img","pullGb":0})";
+
+void expect_default_values(const JobSpec& spec) {
+  EXPECT_EQ(spec.uid, "j-1");
+  EXPECT_EQ(spec.job_class, "c");
+  EXPECT_EQ(spec.owner, "red");
+  EXPECT_EQ(spec.job_type, JobType::array);
+  EXPECT_EQ(spec.priority, Priority::idle);
+  EXPECT_EQ(spec.task_count, 1u);
+  EXPECT_EQ(spec.demand, resources(0.5, 0, 1));
+  EXPECT_EQ(spec.image, "img");
+  EXPECT_EQ(spec.image_gb, 0);
+  EXPECT_TRUE(spec.machine_types.empty());
+  EXPECT_EQ(spec.zone, "");
+  EXPECT_FALSE(spec.single_zone);
+  EXPECT_FALSE(spec.spread);
+  EXPECT_FALSE(spec.allows_spot);
+  EXPECT_EQ(spec.estimated_run_s, 0);
+  EXPECT_EQ(spec.checkpoint_interval_s, 0);
+  EXPECT_EQ(spec.checkpoint_duration_s, 0);
+  EXPECT_EQ(spec.deadline_s, std::nullopt);
+  EXPECT_TRUE(spec.depends_on.empty());
+}
+
+// Descriptions are stored permanently, so what a submission may not omit must still be read.
+TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredJob) {
+  EXPECT_NE(submission_error(kStoredJobWithoutDefaults), "no error");
+  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + kStoredJobWithoutDefaults + ",0.25,12.5]]").job);
+  const std::string snapshot = R"(["job",[)" + kStoredJobWithoutDefaults + R"(,0.25,12.5],"queued",2,[],[]])";
+  expect_default_values(parse_record_text<JobSnapshotRecord>(snapshot).accepted.job);
+}
+
+TEST(WireFormatLedger, TreatsNullFieldsOfAStoredJobAsOmitted) {
+  const std::string nulls =
+      R"(,"accelerators":null,"hostKinds":null,"yard":null,"oneZone":null,"spread":null,"loaners":null,"expectedS":null,)"
+      R"("snapshotEveryS":null,"snapshotS":null,"dueS":null,"waitsOn":null})";
+  const auto stored_job = without(kStoredJobWithoutDefaults, "}") + nulls;
+  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + stored_job + ",0.25,12.5]]").job);
+}
+
 TEST(WireFormatLedger, ParsesEachFieldOfATasksStartedRecord) {
   const auto record = parse_record_text<TasksStartedRecord>(R"(["start","j-1",5,13.0,[["m-1",3,[0,4,6,7]],["m-2",1,[4,6]]]])");
   EXPECT_EQ(record.uid, "j-1");
@@ -1392,6 +1434,18 @@
   EXPECT_EQ(record.machine_types[1].name, "small");
 }
 
+// Whatever any build has stored remains readable, also what the cloud's list may not omit.
+TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredMachineType) {
+  const auto record = parse_record_text<MachineTypesRecord>(R"(["flavors",[{"sku":"c4","cores":4,"ramGb":16,"price":2}]])");
+  const MachineType& machine_type = record.machine_types.at(0);
+  EXPECT_EQ(machine_type.capacity, resources(4, 0, 16));
+  EXPECT_EQ(machine_type.image_cache_gb, 0);
+  EXPECT_EQ(machine_type.image_fetch_gb_per_s, 0);
+  EXPECT_EQ(machine_type.spot_price, 2);
+  EXPECT_EQ(machine_type.boot_s, 60);
+  EXPECT_TRUE(machine_type.zones.empty());
+}
+
 TEST(WireFormatLedger, ParsesEachFieldOfAJobSnapshotRecord) {
   const auto record = encode_and_parse<JobSnapshotRecord>(running_job_record(14.5));
   EXPECT_EQ(record.accepted.job.uid, "j-1");
@@ -1410,64 +1464,10 @@
   EXPECT_TRUE(record.has_more);
   EXPECT_TRUE(record.suspect);
   EXPECT_EQ(record.eligible_since, 14.5);
-// A description that lacks what a submission must contain.
-const std::string kStoredJobWithoutDefaults = R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
-                                              R"("cores":0.5,"ramGb":1,"bundle":"img","pullGb":0})";
-
-void expect_default_values(const JobSpec& spec) {
-  EXPECT_EQ(spec.uid, "j-1");
-  EXPECT_EQ(spec.job_class, "c");
-  EXPECT_EQ(spec.owner, "red");
-  EXPECT_EQ(spec.job_type, JobType::array);
-  EXPECT_EQ(spec.priority, Priority::idle);
-  EXPECT_EQ(spec.task_count, 1u);
-  EXPECT_EQ(spec.demand, resources(0.5, 0, 1));
-  EXPECT_EQ(spec.image, "img");
-  EXPECT_EQ(spec.image_gb, 0);
-  EXPECT_TRUE(spec.machine_types.empty());
-  EXPECT_EQ(spec.zone, "");
-  EXPECT_FALSE(spec.single_zone);
-  EXPECT_FALSE(spec.spread);
-  EXPECT_FALSE(spec.allows_spot);
-  EXPECT_EQ(spec.estimated_run_s, 0);
-  EXPECT_EQ(spec.checkpoint_interval_s, 0);
-  EXPECT_EQ(spec.checkpoint_duration_s, 0);
-  EXPECT_EQ(spec.deadline_s, std::nullopt);
-  EXPECT_TRUE(spec.depends_on.empty());
-}
-
-// Descriptions are stored permanently, so what a submission may not omit must still be read.
-TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredJob) {
-  EXPECT_NE(submission_error(kStoredJobWithoutDefaults), "no error");
-  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + kStoredJobWithoutDefaults + ",0.25,12.5]]").job);
-  const std::string snapshot = R"(["job",[)" + kStoredJobWithoutDefaults + R"(,0.25,12.5],"queued",2,[],[]])";
-  expect_default_values(parse_record_text<JobSnapshotRecord>(snapshot).accepted.job);
-}
-
-TEST(WireFormatLedger, TreatsNullFieldsOfAStoredJobAsOmitted) {
-  const std::string nulls =
-      R"(,"accelerators":null,"hostKinds":null,"yard":null,"oneZone":null,"spread":null,"loaners":null,"expectedS":null,)"
-      R"("snapshotEveryS":null,"snapshotS":null,"dueS":null,"waitsOn":null})";
-  const auto stored_job = without(kStoredJobWithoutDefaults, "}") + nulls;
-  expect_default_values(parse_record_text<JobAcceptedRecord>(R"(["accept",[)" + stored_job + ",0.25,12.5]]").job);
-}
-
 }
 
 TEST(WireFormatLedger, ParsesEachFlagOfAJobSnapshotRecordIndependently) {
   EXPECT_TRUE(encode_and_parse<JobSnapshotRecord>(split_job_record()).has_more);
-// Whatever any build has stored remains readable, also what the cloud's list may not omit.
-TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredMachineType) {
-  const auto record = parse_record_text<MachineTypesRecord>(R"(["flavors",[{"sku":"c4","cores":4,"ramGb":16,"price":2}]])");
-  const MachineType& machine_type = record.machine_types.at(0);
-  EXPECT_EQ(machine_type.capacity, resources(4, 0, 16));
-  EXPECT_EQ(machine_type.image_cache_gb, 0);
-  EXPECT_EQ(machine_type.image_fetch_gb_per_s, 0);
-  EXPECT_EQ(machine_type.spot_price, 2);
-  EXPECT_EQ(machine_type.boot_s, 60);
-  EXPECT_TRUE(machine_type.zones.empty());
-}
-
   EXPECT_FALSE(encode_and_parse<JobSnapshotRecord>(split_job_record()).suspect);
   EXPECT_FALSE(encode_and_parse<JobSnapshotRecord>(suspect_job_record()).has_more);
   EXPECT_TRUE(encode_and_parse<JobSnapshotRecord>(suspect_job_record()).suspect);
@@ -2108,16 +2108,13 @@
 }
 
 TEST(WireFormatSettings, DefaultsOmittedOptionalFields) {
-  auto text = kSettingsText;
-  text = without(text, "count = 3\n");
-  text = without(text, "skew_ms = 25.0\n");
-  text = without(text, "class = \"viewer\"\nwithin_s = 1.5\nshare = 0.95\n");
+  auto text = without(kSettingsText, "share = 0.95\n");
+  text = replaced(text, "kind = \"guarantee\"\nwithin_s = 5.0\nshare = 0.94\n", "kind = \"of a later version\"\n");
   const auto settings = settings_of(text);
-  EXPECT_EQ(settings.controller_count, 0u);
-  EXPECT_EQ(settings.max_clock_skew_ms, 0);
-  EXPECT_EQ(settings.objectives.at(0).job_class, "");
-  EXPECT_EQ(settings.objectives.at(0).within_s, 0);
   EXPECT_EQ(settings.objectives.at(0).fraction, 0);
+  EXPECT_EQ(settings.objectives.at(2).job_class, "");
+  EXPECT_EQ(settings.objectives.at(2).within_s, 0);
+  EXPECT_EQ(settings.objectives.at(2).fraction, 0);
 }
 
 TEST(WireFormatSettings, ErrorNamesTheMissingFieldAndItsTable) {
@@ -2133,6 +2130,12 @@
   EXPECT_EQ(error("state = \"10.2.0.1:2379\"\n"), "endpoints.state: missing");
   EXPECT_EQ(error("name = \"blue\"\n"), "deployment.teams[1].name: missing");
   EXPECT_EQ(error("kind = \"finished\"\n"), "deployment.objectives[1].kind: missing");
+  EXPECT_EQ(error("class = \"viewer\"\n"), "deployment.objectives[0].class: missing");
+  EXPECT_EQ(error("within_s = 1.5\n"), "deployment.objectives[0].within_s: missing");
+  EXPECT_EQ(error("class = \"train\"\n"), "deployment.objectives[1].class: missing");
+  EXPECT_EQ(error("within_s = 300\n"), "deployment.objectives[1].within_s: missing");
+  EXPECT_EQ(error("count = 3\n"), "deployment.count: missing");
+  EXPECT_EQ(error("skew_ms = 25.0\n"), "deployment.skew_ms: missing");
   EXPECT_EQ(error("report_s = 1.25\n"), "deployment.workers.report_s: missing");
   EXPECT_EQ(error("lease_s = 10.0\n"), "deployment.workers.lease_s: missing");
   EXPECT_EQ(error("gang_wait_s = 50.0\n"), "deployment.workers.gang_wait_s: missing");
@@ -2152,6 +2155,8 @@
 TEST(WireFormatSettings, ErrorNamesTheMissingTable) {
   const auto error = [](std::string_view table) { return settings_error(replaced(kSettingsText, table, "[other]")); };
   EXPECT_EQ(error("[endpoints]"), "endpoints: missing");
+  const auto without_teams = replaced(replaced(kSettingsText, "[[deployment.teams]]", "[[other]]"), "[[deployment.teams]]", "[[other]]");
+  EXPECT_EQ(settings_error(without_teams), "deployment.teams: missing");
   EXPECT_EQ(error("[deployment.workers]"), "deployment.workers: missing");
   EXPECT_EQ(error("[deployment.state]"), "deployment.state: missing");
   EXPECT_EQ(error("[deployment.cloud]"), "deployment.cloud: missing");
