Settings: an unknown kind of objective may give its class another form

A kind that this build does not know is ignored, whatever its class is; before the check of required fields it was ignored too. The default values of a submission and of a stored description are asserted in one place.

--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -57,6 +57,7 @@
     return static_cast<std::uint64_t>(*value);
   }
   [[nodiscard]] bool has(const char* field) const { return table_.contains(field); }
+  [[nodiscard]] bool has_text(const char* field) const { return table_[field].is_string(); }
   TableReader table(const char* field) const {
     const auto* found = value_of(field).as_table();
     if (!found) fail(field, "not a table");
@@ -134,8 +135,7 @@
           {team.number_or("cpus_max", 0, 0, kMaxAmount), team.number_or("gpus_max", 0, 0, kMaxAmount), 0}};
 }
 
-// Only the kinds that delays of jobs are compared with need all of their fields. Other kinds, also ones that this build does not know,
-// may omit them.
+// Objectives that limit a delay need their class and time. Other kinds, also ones that this build does not know, may omit them.
 Settings::Objective read_objective(const TableReader& table) {
   Settings::Objective objective;
   objective.kind = table.text("kind");
@@ -143,7 +143,7 @@
   if (limits_delay || table.has("within_s")) objective.within_s = table.number("within_s", 0, kMaxAmount);
   objective.fraction = table.number_or("share", 0, 0, 1);
   if (objective.kind == "guarantee") return objective;
-  if (limits_delay || table.has("class")) objective.job_class = table.text("class");
+  if (limits_delay || table.has_text("class")) objective.job_class = table.text("class");
   return objective;
 }
 
--- a/tests/wire_format.hpp
+++ b/tests/wire_format.hpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "json_variants.hpp"
 #include "model/command.hpp"
+#include "model/job.hpp"
 #include "model/resources.hpp"
 #include "model/task.hpp"
 #include "protocol/store_messages.hpp"
@@ -184,4 +186,27 @@
   return replaced(kMinimalSubmission, "\"" + flag + "\":false", "\"" + flag + "\":true");
 }
 
+// The job of kMinimalSubmission, also of a stored description that omits what has its default value.
+inline void expect_default_values(const JobSpec& spec) {
+  EXPECT_EQ(spec.uid, "j-1");
+  EXPECT_EQ(spec.job_class, "c");
+  EXPECT_EQ(spec.owner, "red");
+  EXPECT_EQ(spec.job_type, JobType::array);
+  EXPECT_EQ(spec.priority, Priority::idle);
+  EXPECT_EQ(spec.task_count, 1u);
+  EXPECT_EQ(spec.demand, resources(0.5, 0, 1));
+  EXPECT_EQ(spec.image, "img");
+  EXPECT_EQ(spec.image_gb, 0);
+  EXPECT_TRUE(spec.machine_types.empty());
+  EXPECT_EQ(spec.zone, "");
+  EXPECT_FALSE(spec.single_zone);
+  EXPECT_FALSE(spec.spread);
+  EXPECT_FALSE(spec.allows_spot);
+  EXPECT_EQ(spec.estimated_run_s, 0);
+  EXPECT_EQ(spec.checkpoint_interval_s, 0);
+  EXPECT_EQ(spec.checkpoint_duration_s, 0);
+  EXPECT_EQ(spec.deadline_s, std::nullopt);
+  EXPECT_TRUE(spec.depends_on.empty());
+}
+
 }  // namespace thistlefront
--- a/tests/wire_format_ledger_test.cpp
+++ b/tests/wire_format_ledger_test.cpp
@@ -421,28 +421,6 @@
 const std::string kStoredJobWithoutDefaults = R"({"uid":"j-1","jobClass":"c","owner":"red","shape":"batch","rank":"idle","pieces":1,)"
                                               R"("cores":0.5,"ramGb":1,"bundle":"img","pullGb":0})";
 
-void expect_default_values(const JobSpec& spec) {
-  EXPECT_EQ(spec.uid, "j-1");
-  EXPECT_EQ(spec.job_class, "c");
-  EXPECT_EQ(spec.owner, "red");
-  EXPECT_EQ(spec.job_type, JobType::array);
-  EXPECT_EQ(spec.priority, Priority::idle);
-  EXPECT_EQ(spec.task_count, 1u);
-  EXPECT_EQ(spec.demand, resources(0.5, 0, 1));
-  EXPECT_EQ(spec.image, "img");
-  EXPECT_EQ(spec.image_gb, 0);
-  EXPECT_TRUE(spec.machine_types.empty());
-  EXPECT_EQ(spec.zone, "");
-  EXPECT_FALSE(spec.single_zone);
-  EXPECT_FALSE(spec.spread);
-  EXPECT_FALSE(spec.allows_spot);
-  EXPECT_EQ(spec.estimated_run_s, 0);
-  EXPECT_EQ(spec.checkpoint_interval_s, 0);
-  EXPECT_EQ(spec.checkpoint_duration_s, 0);
-  EXPECT_EQ(spec.deadline_s, std::nullopt);
-  EXPECT_TRUE(spec.depends_on.empty());
-}
-
 // Descriptions are stored permanently, so what a submission may not omit must still be read.
 TEST(WireFormatLedger, DefaultsOmittedFieldsOfAStoredJob) {
   EXPECT_NE(submission_error(kStoredJobWithoutDefaults), "no error");
--- a/tests/wire_format_settings_test.cpp
+++ b/tests/wire_format_settings_test.cpp
@@ -194,7 +194,7 @@
 
 TEST(WireFormatSettings, DefaultsOmittedOptionalFields) {
   auto text = without(kSettingsText, "share = 0.95\n");
-  text = replaced(text, "kind = \"guarantee\"\nwithin_s = 5.0\nshare = 0.94\n", "kind = \"of a later version\"\n");
+  text = replaced(text, "kind = \"guarantee\"\nwithin_s = 5.0\nshare = 0.94\n", "kind = \"of a later version\"\nclass = 7\n");
   const auto settings = settings_of(text);
   EXPECT_EQ(settings.objectives.at(0).fraction, 0);
   EXPECT_EQ(settings.objectives.at(2).job_class, "");
--- a/tests/wire_format_users_test.cpp
+++ b/tests/wire_format_users_test.cpp
@@ -40,28 +40,7 @@
 }
 
 TEST(WireFormatUsers, DefaultsOmittedFieldsOfASubmission) {
-  const auto spec = parse_submission(kMinimalSubmission);
-  EXPECT_EQ(spec.uid, "j-1");
-  EXPECT_EQ(spec.job_class, "c");
-  EXPECT_EQ(spec.owner, "red");
-  EXPECT_EQ(spec.job_type, JobType::array);
-  EXPECT_EQ(spec.priority, Priority::idle);
-  EXPECT_EQ(spec.task_count, 1u);
-  EXPECT_EQ(spec.demand.cores, 0.5);
-  EXPECT_EQ(spec.demand.accelerators, 0);
-  EXPECT_EQ(spec.demand.ram_gb, 1);
-  EXPECT_EQ(spec.image, "img");
-  EXPECT_EQ(spec.image_gb, 0);
-  EXPECT_TRUE(spec.machine_types.empty());
-  EXPECT_EQ(spec.zone, "");
-  EXPECT_FALSE(spec.single_zone);
-  EXPECT_FALSE(spec.spread);
-  EXPECT_FALSE(spec.allows_spot);
-  EXPECT_EQ(spec.estimated_run_s, 0);
-  EXPECT_EQ(spec.checkpoint_interval_s, 0);
-  EXPECT_EQ(spec.checkpoint_duration_s, 0);
-  EXPECT_EQ(spec.deadline_s, std::nullopt);
-  EXPECT_TRUE(spec.depends_on.empty());
+  expect_default_values(parse_submission(kMinimalSubmission));
 }
 
 TEST(WireFormatUsers, ParsesEachFlagOfASubmissionIndependently) {
