--- a/tests/incomplete_submissions_test.cpp
+++ b/tests/incomplete_submissions_test.cpp
@@ -38,8 +38,7 @@
 class IncompleteSubmissions : public testing::Test {
  protected:
   IncompleteSubmissions() {
-    const auto has_machine_types = [&] { return submit(0, complete_submission("j-1")).is(201); };
-    EXPECT_TRUE(cluster.eventually(kReadyWithinS, has_machine_types));
+    EXPECT_TRUE(cluster.submit_until("j-1", kReadyWithinS));
     const std::size_t leader = cluster.leader();
     controllers = {leader, (leader + 1) % 2};
     const auto forwards = [&] { return cluster.ask(controllers[1], "GET", "/v1/jobs/j-1").is(200); };
--- a/tests/wire_format.hpp
+++ b/tests/wire_format.hpp
@@ -14,6 +14,7 @@
 #include "json_variants.hpp"
 #include "model/command.hpp"
 #include "model/job.hpp"
+#include "model/ledger_records.hpp"
 #include "model/resources.hpp"
 #include "model/task.hpp"
 #include "protocol/store_messages.hpp"
